--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,1171 @@
+package whinknot
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+// plain gives settings with one class of each effect, for one copy at the front.
+func plain() Settings {
+	return Settings{
+		Classes: []Class{
+			{Name: "read", Worth: 1, Aim: 500, GiveUp: 1000, Effect: Safe},
+			{Name: "keyed", Worth: 2, Aim: 500, GiveUp: 1000, Effect: Keyed, Group: GroupCell, Window: 300},
+			{Name: "book", Worth: 5, Aim: 500, GiveUp: 1000, Effect: Unsafe},
+		},
+		Limits: Limits{MaxAttempts: 3},
+		Safety: Safety{ColdFrom: 0.2, Ramp: 20000, FallMultiple: 3, FallAfter: 1500, AskEvery: 10000},
+	}
+}
+
+// harness drives one balancer and keeps what it asks for.
+type harness struct {
+	t   *testing.T
+	b   *Balancer
+	now float64
+}
+
+func start(t *testing.T, set Settings, servers ...ServerEntry) *harness {
+	t.Helper()
+	b, err := New(set, 7, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &harness{t: t, b: b, now: 1000}
+	h.do(Event{Kind: EvList, List: ListCached, Servers: servers})
+	return h
+}
+
+// do hands an event over and returns the actions that are not timers or logs.
+func (h *harness) do(ev Event) []Action {
+	var kept []Action
+	for _, a := range h.b.Handle(h.now, &ev, nil) {
+		if a.Kind != ActTimer && a.Kind != ActLog {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
+
+func (h *harness) request(id uint32, class uint16) []Action {
+	return h.do(Event{Kind: EvRequest, Request: id, Class: class, Due: h.now + 1000})
+}
+
+func ids(n int) []ServerEntry {
+	out := make([]ServerEntry, n)
+	for i := range out {
+		out[i] = ServerEntry{Server: uint32(100 + i), Cell: uint16(i / 2), Weight: 1}
+	}
+	return out
+}
+
+func TestNewNamesTheBadSetting(t *testing.T) {
+	for _, c := range []struct {
+		name, want string
+		spoil      func(*Settings)
+	}{
+		{"no classes", "Classes", func(s *Settings) { s.Classes = nil }},
+		{"negative time", "GiveUp -1", func(s *Settings) { s.Classes[0].GiveUp = -1 }},
+		{"negative window", "Window -2", func(s *Settings) { s.Classes[1].Window = -2 }},
+		{"unknown effect", "Effect 9", func(s *Settings) { s.Classes[0].Effect = 9 }},
+		{"tier out of range", "Stage 3", func(s *Settings) { s.Stage, s.Stages = 3, 3 }},
+		{"negative ramp", "Ramp -5", func(s *Settings) { s.Safety.Ramp = -5 }},
+		{"no number", "ColdFrom NaN", func(s *Settings) { s.Safety.ColdFrom = math.NaN() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := plain()
+			c.spoil(&set)
+			if _, err := New(set, 1, 0); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v, want one with %q", err, c.want)
+			}
+		})
+	}
+}
+
+// The two formulas of the paper, against figures worked by hand.
+func TestRevisedLoad(t *testing.T) {
+	for _, c := range []struct {
+		name                                   string
+		load, goodput, p95, floor, most, after float64
+	}{
+		{"over threshold: 0.9 of goodput", 20, 10, 1.2, 1, 100, 9},
+		{"over threshold: never under the floor", 20, 0, 2, 1.5, 100, 1.5},
+		{"half the threshold: times root 1.5", 16, 16, 0.5, 1, 100, 16 * 1.224744871},
+		{"idle latency: times root 2", 10, 5, 0, 1, 100, 14.14213562},
+		{"at the threshold: stays", 10, 5, 1, 1, 100, 10},
+		{"rise ends at the learned maximum", 10, 5, 0, 1, 12, 12},
+		{"a load over the maximum is not cut by it", 14, 5, 0, 1, 12, 14},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := revised(c.load, c.goodput, c.p95, c.floor, c.most); math.Abs(got-c.after) > 1e-6 {
+				t.Errorf("load %v, want %v", got, c.after)
+			}
+		})
+	}
+}
+
+func TestP95StretchesItsWindow(t *testing.T) {
+	h := start(t, plain(), ids(2)...)
+	s := h.b.live[0]
+	add := func(age, ratio float64) {
+		s.samples[s.count%ringSize] = sample{h.b.now - age, ratio}
+		s.count++
+	}
+	if _, ok := h.b.p95(s); ok {
+		t.Error("a server without samples counts as measured")
+	}
+	for range 18 {
+		add(5000, 0.5)
+	}
+	add(4000, 3)
+	add(3000, 4)
+	if got, ok := h.b.p95(s); !ok || got != 3 {
+		t.Errorf("p95 of 20 samples over five seconds is %v, %v; want the second largest, 3", got, ok)
+	}
+	for range 20 {
+		add(100, 0.25)
+	}
+	if got, _ := h.b.p95(s); got != 0.25 {
+		t.Errorf("p95 %v, want that of the last second alone, 0.25", got)
+	}
+}
+
+func TestQueueHoldsInOrderAndIsBounded(t *testing.T) {
+	set := plain()
+	h := start(t, set, ids(1)...)
+	h.b.room, h.b.roomAt = 1, math.Inf(1)
+	h.b.sends = average{20, h.now}
+	if acts := h.request(1, 0); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Fatalf("first call: %+v", acts)
+	}
+	var refused int
+	for id := uint32(2); id < 20; id++ {
+		acts := h.request(id, 2)
+		if len(acts) > 0 && acts[0].Kind == ActRefuse {
+			refused++
+		}
+	}
+	held := len(h.b.queue)
+	if held < 2 || refused != 18-held {
+		t.Fatalf("%d calls held and %d refused of 18", held, refused)
+	}
+	acts := h.do(Event{Kind: EvOutcome, Request: 1, Server: 100, Outcome: OK, Took: 20, Done: true})
+	if len(acts) != 1 || acts[0].Kind != ActSend || acts[0].Request != 2 {
+		t.Errorf("the head of the queue must be sent first: %+v", acts)
+	}
+}
+
+func TestCheapCallsAreRefusedFirst(t *testing.T) {
+	h := start(t, plain(), ids(1)...)
+	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{60, h.now}
+	h.request(1, 2)
+	for id := uint32(2); id < 5; id++ {
+		h.request(id, 2)
+	}
+	if acts := h.request(9, 0); len(acts) != 1 || acts[0].Kind != ActRefuse {
+		t.Errorf("a call of worth 1 behind three of worth 5: %+v", acts)
+	}
+	if acts := h.request(10, 2); len(acts) != 0 {
+		t.Errorf("a call of worth 5 must still be held: %+v", acts)
+	}
+}
+
+// A waiting call behind a head with more time must still be answered in its time.
+func TestCallBehindThePatientHeadIsAnswered(t *testing.T) {
+	h := start(t, plain())
+	h.request(1, 0)
+	h.do(Event{Kind: EvRequest, Request: 2, Class: 0, Due: h.now + 100})
+	h.now += 120
+	acts := h.do(Event{Kind: EvTimer, Token: 1})
+	if len(acts) != 1 || acts[0].Kind != ActRefuse || acts[0].Request != 2 {
+		t.Errorf("want request 2 refused: %+v", acts)
+	}
+	h.now += 1000
+	if acts = h.do(Event{Kind: EvTimer, Token: 1}); len(acts) != 1 || acts[0].Request != 1 {
+		t.Errorf("want request 1 refused when its aim has passed: %+v", acts)
+	}
+}
+
+// What may follow an attempt that ended without an answer, for each kind of effect.
+func TestSecondAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		class   uint16
+		outcome Outcome
+		want    ActionKind
+		cell    bool // must stay in the cell of the first
+	}{
+		{"safe after an error", 0, Error, ActSend, false},
+		{"safe after a reset", 0, Reset, ActSend, false},
+		{"keyed after an error", 1, Error, ActSend, true},
+		{"keyed after a full server", 1, Full, ActSend, false},
+		{"unsafe after an error", 2, Error, ActFail, false},
+		{"unsafe after a time-out", 2, Timeout, ActFail, false},
+		{"unsafe after a cancel", 2, Cancelled, ActFail, false},
+		{"unsafe after a full server", 2, Full, ActSend, false},
+		{"unsafe after a failed connect", 2, ConnectFailed, ActSend, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := start(t, plain(), ids(8)...)
+			first := h.request(1, c.class)
+			h.now += 50
+			acts := h.do(Event{Kind: EvOutcome, Request: 1, Server: first[0].Server, Outcome: c.outcome, Took: 50})
+			if len(acts) != 1 || acts[0].Kind != c.want {
+				t.Fatalf("actions %+v, want kind %d", acts, c.want)
+			}
+			cell := func(id uint32) uint32 { return (id - 100) / 2 }
+			if c.cell && cell(acts[0].Server) != cell(first[0].Server) {
+				t.Errorf("sent to server %d, outside the cell of %d", acts[0].Server, first[0].Server)
+			}
+		})
+	}
+}
+
+func TestKeyedIsNotRepeatedAfterItsWindow(t *testing.T) {
+	h := start(t, plain(), ids(8)...)
+	first := h.request(1, 1)
+	h.now += 301
+	acts := h.do(Event{Kind: EvOutcome, Request: 1, Server: first[0].Server, Outcome: Reset, Took: 301})
+	if len(acts) != 1 || acts[0].Kind != ActFail {
+		t.Errorf("actions %+v, want a failure", acts)
+	}
+}
+
+func TestDrainedServerGetsNothing(t *testing.T) {
+	h := start(t, plain(), ids(2)...)
+	h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{{Server: 100, State: Draining}}})
+	for id := uint32(1); id < 6; id++ {
+		for _, a := range h.request(id, 0) {
+			if a.Server == 100 {
+				t.Fatal("sent to a draining server")
+			}
+		}
+	}
+	h.do(Event{Kind: EvList, List: ListFull, Servers: ids(1)})
+	for id := uint32(10); id < 16; id++ {
+		for _, a := range h.request(id, 0) {
+			if a.Kind == ActSend && a.Server == 101 {
+				t.Fatal("sent to a server that is absent from the full list")
+			}
+		}
+	}
+}
+
+// A restarted server must not be given its old load, nor a burst by every copy at once.
+func TestColdServerIsSpared(t *testing.T) {
+	firsts, sends := 0, 0
+	for seed := range uint64(40) {
+		set := plain()
+		set.Copies = 40
+		b, _ := New(set, seed, 0)
+		entries := ids(3)
+		entries[2].Started = 999
+		b.Handle(1000, &Event{Kind: EvList, List: ListCached, Servers: entries}, nil)
+		for i := range 20 {
+			now := 1000 + 50*float64(i)
+			for _, a := range b.Handle(now, &Event{Kind: EvRequest, Request: uint32(i), Due: now + 900}, nil) {
+				if a.Kind != ActSend {
+					continue
+				}
+				sends++
+				if a.Server == 102 {
+					firsts++
+				}
+				b.Handle(now+10, &Event{Kind: EvOutcome, Request: a.Request, Server: a.Server, Took: 10, Done: true}, nil)
+			}
+		}
+	}
+	// An even third would be 0.33 of the sends; a fifth of that is its present share.
+	if part := float64(firsts) / float64(sends); part > 0.2*0.33*1.5 {
+		t.Errorf("the cold server got %.3f of %d sends", part, sends)
+	}
+}
+
+func TestUnknownNamesChangeNothing(t *testing.T) {
+	h := start(t, plain(), ids(2)...)
+	h.request(1, 0)
+	for _, ev := range []Event{
+		{Kind: EvOutcome, Request: 99, Outcome: OK},
+		{Kind: EvOutcome, Request: 1, Attempt: 7, Outcome: Error},
+		{Kind: EvGone, Request: 99},
+		{Kind: EvFirst, Request: 1, Attempt: 9},
+		{Kind: EvRequest, Request: 5, Class: 44, Due: 5000},
+		{Kind: EvRequest, Request: 1, Due: 5000},
+		{Kind: EvTimer, Token: 12345},
+		{Kind: EvProbe, Server: 4},
+		{Kind: 200},
+	} {
+		if acts := h.do(ev); len(acts) != 0 {
+			t.Errorf("%+v led to %+v", ev, acts)
+		}
+	}
+	if h.b.out != 1 {
+		t.Errorf("%d calls out, want 1", h.b.out)
+	}
+}
+
+// A timer that comes a little early must not be waited for for ever.
+func TestEarlyTimerIsSetAgain(t *testing.T) {
+	h := start(t, plain())
+	var timers []Action
+	for _, a := range h.b.Handle(h.now, &Event{Kind: EvRequest, Request: 1, Class: 2, Due: h.now + 100}, nil) {
+		if a.Kind == ActTimer {
+			timers = append(timers, a)
+		}
+	}
+	for range 40 {
+		if len(timers) != 1 {
+			t.Fatalf("%v: timers %+v while a call waits", h.now, timers)
+		}
+		h.now += timers[0].After - 0.0004
+		token := timers[0].Token
+		timers = timers[:0]
+		for _, a := range h.b.Handle(h.now, &Event{Kind: EvTimer, Token: token}, nil) {
+			switch a.Kind {
+			case ActTimer:
+				timers = append(timers, a)
+			case ActRefuse:
+				return
+			}
+		}
+	}
+	t.Error("the call was never answered")
+}
+
+func TestListIsAskedForAgain(t *testing.T) {
+	set := plain()
+	set.ListOnRequest = true
+	h := start(t, set, ids(1)...)
+	asked := func(until float64) float64 {
+		for ; h.now < until; h.now += 10 {
+			for _, a := range h.do(Event{Kind: EvTimer, Token: 1}) {
+				if a.Kind == ActWatch {
+					return h.now
+				}
+			}
+		}
+		t.Fatalf("not asked until %v", until)
+		return 0
+	}
+	asked(1000 + set.Safety.AskEvery)
+	var gaps []float64
+	for range 6 {
+		failed := h.now
+		h.do(Event{Kind: EvList, List: ListFailed})
+		gaps = append(gaps, asked(h.now+4*set.Safety.AskEvery)-failed)
+	}
+	if gaps[0] > 1600 || gaps[5] < 4000 || gaps[5] > 2*set.Safety.AskEvery {
+		t.Errorf("gaps between calls %v must grow and stay bounded", gaps)
+	}
+}
+
+// A run of failures cuts a server between revisions; good trials bring it back.
+func TestRunOfFailuresCutsAndTrialsRestore(t *testing.T) {
+	h := start(t, plain(), ids(10)...)
+	s := h.b.live[0]
+	for range 3 {
+		h.b.learn(s, 0, Error, 1)
+	}
+	if !s.cut || h.b.loadOf(s) > 1 {
+		t.Fatalf("after three failures: cut %v, load %v", s.cut, h.b.loadOf(s))
+	}
+	for range trialGoods {
+		h.b.learn(s, 0, OK, 20)
+	}
+	if s.cut || s.measured {
+		t.Errorf("after good trials: cut %v, measured %v", s.cut, s.measured)
+	}
+}
+
+// When nearly all servers fail together the cause is shared, and not all are cut.
+func TestSharedTroubleDoesNotCutEverything(t *testing.T) {
+	h := start(t, plain(), ids(10)...)
+	for range 10 {
+		for _, s := range h.b.live {
+			h.b.learn(s, 0, Timeout, 500)
+		}
+	}
+	cut := 0
+	for _, s := range h.b.live {
+		if s.cut {
+			cut++
+		}
+	}
+	if cut > 4 {
+		t.Errorf("%d of 10 servers cut", cut)
+	}
+}
+
+// Copies must deal the servers out completely and evenly, without talking.
+func TestHomesCoverEveryServerOnce(t *testing.T) {
+	for _, c := range []struct{ copies, servers int }{{1, 1}, {1, 7}, {3, 10}, {7, 3}, {80, 44}, {5, 5}} {
+		total := map[uint32]float64{}
+		for rank := range c.copies {
+			set := plain()
+			set.Copies, set.Rank = c.copies, rank
+			h := start(t, set, ids(c.servers)...)
+			own := 0.0
+			for _, s := range h.b.live {
+				total[s.Server] += s.home
+				own += s.home
+			}
+			if want := float64(c.servers) / float64(c.copies); math.Abs(own-want) > 1e-9 {
+				t.Errorf("%d copies, %d servers: rank %d owns %v, want %v", c.copies, c.servers, rank, own, want)
+			}
+		}
+		for id, sum := range total {
+			if math.Abs(sum-1) > 1e-9 {
+				t.Errorf("%d copies, %d servers: server %d is dealt out %v times", c.copies, c.servers, id, sum)
+			}
+		}
+	}
+}
+
+// Where probes are all but free a sparse copy must go by what servers hold, and must not
+// wait for answers that do not come.
+func TestCheapProbesChooseTheServer(t *testing.T) {
+	set := plain()
+	set.Limits.Probes, set.HeldField, set.ProbePrice = true, 2, 0.001
+	h := start(t, set, ids(8)...)
+	h.b.heldMean = 10 // most servers hold more than those asked: no second question
+	probed := h.request(1, 0)
+	if len(probed) < 2 || probed[0].Kind != ActProbe {
+		t.Fatalf("want probes before the send: %+v", probed)
+	}
+	var acts []Action
+	for i, p := range probed {
+		held := float32(9 - i)
+		acts = h.do(Event{Kind: EvProbe, Server: p.Server, Outcome: OK, Report: [4]float32{5, held}, Values: 2})
+	}
+	if least := probed[len(probed)-1].Server; len(acts) != 1 || acts[0].Kind != ActSend || acts[0].Server != least {
+		t.Errorf("actions %+v, want a send to server %d, which holds least", acts, least)
+	}
+	h.now += 1000
+	h.request(2, 0)
+	h.now += probeWait*set.Classes[0].Aim + 1
+	if acts = h.do(Event{Kind: EvTimer}); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Errorf("actions %+v, want a send though no probe came back", acts)
+	}
+	set.ProbePrice = 0.05
+	h = start(t, set, ids(8)...)
+	if acts = h.request(1, 0); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Errorf("actions %+v, want no probes where they are dear", acts)
+	}
+}
+
+// Where servers admit few connections, copies that use all servers by turns get none:
+// beside its home a copy must keep to servers that answered it while these are idle.
+func TestSpillKeepsToLinkedServers(t *testing.T) {
+	set := plain()
+	set.Copies, set.Rank = 40, 3
+	h := start(t, set, ids(20)...)
+	met := map[uint32]bool{}
+	for id := uint32(1); id <= 120; id++ {
+		var out []Action
+		for k := range uint32(2) { // two calls at a time need the home and one more
+			for _, a := range h.request(1000*k+id, 0) {
+				if a.Kind == ActSend {
+					out = append(out, a)
+				}
+			}
+		}
+		h.now += 40
+		for _, a := range out {
+			met[a.Server] = true
+			h.do(Event{Kind: EvOutcome, Request: a.Request, Server: a.Server, Outcome: OK, Took: 40, Done: true})
+		}
+	}
+	if len(met) > 4 {
+		t.Errorf("%d of 20 servers met with two calls out at a time", len(met))
+	}
+}
+
+// When the own zone is lost, not all its servers may be cut, and its homes must not
+// be tried again and again while another zone answers.
+func TestLostZoneIsLeft(t *testing.T) {
+	entries := ids(12)
+	for i := range entries {
+		entries[i].Zone = uint8(i % 2)
+	}
+	h := start(t, plain(), entries...)
+	lost := 0
+	for id := uint32(1); id <= 200; id++ {
+		for queue := h.request(id, 0); len(queue) > 0; queue = queue[1:] {
+			a := queue[0]
+			if a.Kind != ActSend {
+				continue
+			}
+			ev := Event{Kind: EvOutcome, Request: id, Server: a.Server, Outcome: OK, Took: 20, Done: true}
+			if (a.Server-100)%2 == 0 {
+				if id > 100 {
+					lost++
+				}
+				ev.Outcome, ev.Done = ConnectFailed, false
+			}
+			h.now += 10
+			for k := range h.b.requests[id].attempts {
+				ev.Attempt = uint16(k)
+			}
+			queue = append(queue, h.do(ev)...)
+		}
+	}
+	if lost > 10 {
+		t.Errorf("%d of the last 100 calls still went to the lost zone", lost)
+	}
+}
+
+// A dense copy's old credit must not outweigh calls that are out: a server that answers
+// slowly would gather both.
+func TestCallsOutOutweighOldCredit(t *testing.T) {
+	h := start(t, plain(), ids(2)...)
+	for _, s := range h.b.live {
+		s.measured, s.load, s.reviseAt = true, 40, math.Inf(1)
+	}
+	h.b.recount()
+	slow, quick := h.b.live[0], h.b.live[1]
+	slow.out, slow.credit, slow.accruedAt = 5, 40, h.now
+	quick.out, quick.credit, quick.accruedAt = 3, 3, h.now
+	slow.heard, quick.heard = h.now, h.now
+	if got := h.b.choose(&request{due: h.now + 1000, aimAt: h.now + 500}); got != quick {
+		t.Errorf("chose server %d with %d calls out", got.Server, got.out)
+	}
+}
+
+// A front that probes must not send on when every server asked holds more than the aim
+// allows; it waits, asks again, and sends when one has room.
+func TestProbesHoldBackWhatWouldBeLate(t *testing.T) {
+	set := plain()
+	set.Limits.Probes, set.HeldField = true, 1
+	h := start(t, set, ids(8)...)
+	h.b.turn = 150    // ms for each call held, aim 500
+	h.b.heldMean = 10 // most servers hold more than those asked: no second question
+	answer := func(probes []Action, held float32) (acts []Action) {
+		for _, p := range probes {
+			acts = h.do(Event{Kind: EvProbe, Server: p.Server, Outcome: OK, Report: [4]float32{held}, Values: 1})
+		}
+		return acts
+	}
+	if acts := answer(h.request(1, 2), 5); len(acts) != 0 {
+		t.Fatalf("sent to a server that holds five: %+v", acts)
+	}
+	h.now += 100
+	again := h.do(Event{Kind: EvTimer, Token: h.b.timer})
+	if len(again) == 0 || again[0].Kind != ActProbe {
+		t.Fatalf("want other servers asked while the call waits: %+v", again)
+	}
+	if acts := answer(again, 0); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Errorf("want a send to an idle server: %+v", acts)
+	}
+}
+
+// A class whose aim grows with a request's work must not have heavy calls given up early.
+func TestAimStretchesWithTheHint(t *testing.T) {
+	set := plain()
+	set.Classes[0].AimStretch = 2
+	for hint, aim := range map[float64]float64{0: 500, 100: 700, 900: 1000} {
+		h := start(t, set)
+		h.do(Event{Kind: EvRequest, Request: 1, Due: h.now + 5000, Hint: hint})
+		if got := h.b.requests[1].aimAt - h.now; got != aim {
+			t.Errorf("hint %v: aim after %v, want %v", hint, got, aim)
+		}
+	}
+}
+
+// CPU is counted for each copy: the steady path must not allocate.
+func TestSteadyPathDoesNotAllocate(t *testing.T) {
+	h := start(t, plain(), ids(200)...)
+	acts := make([]Action, 0, 16)
+	id := uint32(0)
+	cycle := func() {
+		id++
+		h.now += 5
+		acts = h.b.Handle(h.now, &Event{Kind: EvRequest, Request: id, Due: h.now + 1000}, acts[:0])
+		for _, a := range acts {
+			if a.Kind == ActSend {
+				h.now += 2
+				acts = h.b.Handle(h.now, &Event{Kind: EvOutcome, Request: id, Server: a.Server, Took: 2, Done: true}, acts[:0])
+				break
+			}
+		}
+	}
+	for range 3000 {
+		cycle()
+	}
+	if got := testing.AllocsPerRun(2000, cycle); got != 0 {
+		t.Errorf("%v allocations for a request and its outcome", got)
+	}
+}
+
+// The module is read aloud: its size and width are bounded.
+func TestPolicySizeAndWidth(t *testing.T) {
+	text, err := os.ReadFile("balancer.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range bytes.Split(text, []byte("\n")) {
+		if len(bytes.TrimSpace(line)) > 0 {
+			lines++
+		}
+		wide := utf8.RuneCount(line) + 3*bytes.Count(line, []byte("\t"))
+		if wide > 110 {
+			t.Errorf("line %d is %d wide", i+1, wide)
+		}
+	}
+	if lines > 910 {
+		t.Errorf("%d lines that are not blank, 910 at most", lines)
+	}
+	if !bytes.Contains(text[:bytes.IndexByte(text, '\n')], []byte("api.go")) {
+		t.Error("the first line must name the interface file")
+	}
+}
+
+func TestSameEventsGiveSameActions(t *testing.T) {
+	a, b := newWorld(t, 5, 3), newWorld(t, 5, 3)
+	other := newWorld(t, 6, 3)
+	for range 2000 {
+		a.step()
+		other.step() // an instance beside it must not matter
+		b.step()
+	}
+	if !reflect.DeepEqual(a.trace, b.trace) || len(a.trace) < 500 {
+		t.Errorf("traces of %d and %d actions differ", len(a.trace), len(b.trace))
+	}
+}
+
+// budgeted gives settings of a site that states a retry budget of one attempt and a tenth of the requests.
+func budgeted() Settings {
+	set := plain()
+	set.Safety.BudgetFree, set.Safety.BudgetShare, set.Safety.BudgetWindow = 1, 0.1, 10000
+	return set
+}
+
+// Never-ran outcomes come out of a stated budget too: without the count at the one way to a server every
+// full server would be followed by another try.
+func TestBudgetBoundsEveryFurtherAttempt(t *testing.T) {
+	h := start(t, budgeted(), ids(20)...)
+	var taken, further []float64
+	for id := uint32(1); id <= 400; id++ {
+		h.now += 37
+		taken = append(taken, h.now)
+		acts := h.request(id, uint16(id%3))
+		for attempt := uint16(0); len(acts) > 0 && acts[0].Kind == ActSend; attempt++ {
+			if attempt > 0 {
+				further = append(further, h.now)
+				from, f := h.now-10000, &h.b.set.Safety
+				allowed := f.BudgetFree + f.BudgetShare*count(taken, from+1e-6)
+				if made := count(further, from); made > allowed+1e-9 {
+					t.Fatalf("%v: %v further attempts in the window, %v allowed", h.now, made, allowed)
+				}
+			}
+			h.now++
+			out := []Outcome{Full, ConnectFailed, Error}[id%3]
+			acts = h.do(Event{Kind: EvOutcome, Request: id, Attempt: attempt, Server: acts[0].Server, Outcome: out, Took: 1})
+		}
+	}
+	if len(further) < 20 {
+		t.Errorf("only %d further attempts: the budget was not used", len(further))
+	}
+	if n := len(h.b.taken.times); n > 1200 {
+		t.Errorf("%d entries kept for a window that holds 270", n)
+	}
+}
+
+// A call that waits for its second attempt while others use the budget up must be answered, and must not
+// hold up those behind it.
+func TestBudgetUsedUpWhileWaiting(t *testing.T) {
+	h := start(t, budgeted(), ids(4)...)
+	sent := map[uint32]uint32{}
+	for id := uint32(1); id <= 2; id++ {
+		for _, a := range h.request(id, 2) {
+			sent[id] = a.Server
+		}
+	}
+	h.b.room, h.b.roomAt = 0, math.Inf(1)
+	for id := uint32(1); id <= 2; id++ {
+		if acts := h.do(Event{Kind: EvOutcome, Request: id, Server: sent[id], Outcome: Full, Took: 1}); len(acts) != 0 {
+			t.Fatalf("want both to wait: %+v", acts)
+		}
+	}
+	h.b.room = 10
+	acts := h.do(Event{Kind: EvTimer})
+	if len(acts) != 2 || acts[0].Kind != ActSend || acts[1].Kind != ActRefuse {
+		t.Errorf("want one sent and one refused: %+v", acts)
+	}
+}
+
+// closes counts the close actions for a server.
+func closes(acts []Action, server uint32) (n int) {
+	for _, a := range acts {
+		if a.Kind == ActClose && a.Server == server {
+			n++
+		}
+	}
+	return n
+}
+
+// Idle connections to a draining server are closed on the notice, after the last outcome there, and once
+// more by timer on a copy that hears nothing else; never where the site has no such rule.
+func TestIdleConnectionsAreClosedOnDrains(t *testing.T) {
+	drain := Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{{Server: 100, State: Draining}}}
+	set := plain()
+	h := start(t, set, ids(1)...)
+	if acts := h.do(drain); closes(acts, 100) != 0 {
+		t.Errorf("closed without a rule: %+v", acts)
+	}
+	set.Safety.DrainClose = 1500
+	h = start(t, set, ids(1)...)
+	if acts := h.request(1, 0); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Fatalf("want a send: %+v", acts)
+	}
+	h.now += 10
+	if acts := h.do(drain); closes(acts, 100) != 1 {
+		t.Errorf("on the notice: %+v", acts)
+	}
+	h.now += 300
+	end := Event{Kind: EvOutcome, Request: 1, Server: 100, Outcome: OK, Took: 310, Done: true}
+	if acts := h.do(end); closes(acts, 100) != 1 {
+		t.Errorf("on the last outcome: %+v", acts)
+	}
+	last, closed := h.now, 0
+	for ; h.now < last+set.Safety.DrainClose-1; h.now += 10 {
+		closed += closes(h.do(Event{Kind: EvTimer, Token: h.b.timer}), 100)
+	}
+	if closed != 1 {
+		t.Errorf("closed %d times by timer, want once", closed)
+	}
+	for range 100 {
+		h.now += 50
+		closed += closes(h.do(Event{Kind: EvTimer, Token: h.b.timer}), 100)
+	}
+	if closed != 1 || len(h.b.closing) != 0 {
+		t.Errorf("closed %d times in all, %d still listed", closed, len(h.b.closing))
+	}
+}
+
+// A server that is ready again before the second close keeps its connections; one that is gone does not.
+func TestReadyAgainIsNotClosed(t *testing.T) {
+	set := plain()
+	set.Safety.DrainClose = 1500
+	for _, state := range []ServerState{Ready, Gone} {
+		h := start(t, set, ids(2)...)
+		for _, st := range []ServerState{Draining, state} {
+			h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{{Server: 100, State: st}}})
+		}
+		h.now += 1000
+		if n := closes(h.do(Event{Kind: EvTimer, Token: h.b.timer}), 100); (n == 1) != (state == Gone) {
+			t.Errorf("state %d: closed %d times", state, n)
+		}
+	}
+}
+
+// A sparse copy must be let to measure: with one call at a time it never holds the samples of a p95.
+func TestSparseCopyIsNotStarved(t *testing.T) {
+	set := plain()
+	set.Copies = 700
+	h := start(t, set, ids(100)...)
+	for id := uint32(1); id <= 2; id++ {
+		if acts := h.request(id, 0); len(acts) != 1 || acts[0].Kind != ActSend {
+			t.Errorf("call %d: %+v", id, acts)
+		}
+	}
+}
+
+// What is still out for a call that its client left is work for nobody.
+func TestLeftCallIsCancelled(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		set := plain()
+		set.Limits.Cancel = may
+		h := start(t, set, ids(2)...)
+		h.request(1, 0)
+		acts := h.do(Event{Kind: EvGone, Request: 1})
+		if may != (len(acts) == 1 && acts[0].Kind == ActCancel && acts[0].Request == 1) {
+			t.Errorf("cancelling allowed %v: %+v", may, acts)
+		}
+	}
+}
+
+// A server that answers full at once must not draw the same call again while others are untried.
+func TestFurtherAttemptGoesElsewhere(t *testing.T) {
+	h := start(t, plain(), ids(3)...)
+	acts := h.request(1, 0)
+	tried := map[uint32]bool{}
+	for attempt := uint16(0); len(acts) == 1 && acts[0].Kind == ActSend; attempt++ {
+		if tried[acts[0].Server] {
+			t.Fatalf("server %d tried twice", acts[0].Server)
+		}
+		tried[acts[0].Server] = true
+		acts = h.do(Event{Kind: EvOutcome, Request: 1, Attempt: attempt, Server: acts[0].Server, Outcome: Full})
+	}
+	if len(tried) != 3 {
+		t.Errorf("%d servers tried of 3", len(tried))
+	}
+}
+
+// The front must shed for waiting, not for a tail that is the work's own, nor for some silent servers.
+func TestOnlyWaitingSheds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sick Outcome
+		took float64 // of one call in ten
+		slow float64 // by which all others slow down halfway
+		shed bool
+	}{
+		{"a heavy tail", OK, 900, 1, false},
+		{"silent servers", Timeout, 900, 1, false},
+		{"all wait", OK, 900, 6, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := start(t, plain(), ids(4)...)
+			before := 0.0
+			for i := range 6000 {
+				h.now += 10
+				h.b.now = h.now
+				s, out, took := h.b.live[i%4], OK, 80.0
+				if i > 3000 {
+					took *= c.slow
+				}
+				if i%10 == 0 {
+					out, took = c.sick, c.took
+				}
+				h.b.learn(s, 0, out, took)
+				s.cut, s.run = false, 0
+				h.b.sends.add(h.now, 1)
+				h.b.out = 40
+				if h.now >= h.b.roomAt {
+					h.b.reviseRoom()
+				}
+				if i == 3000 {
+					before = h.b.room
+				}
+			}
+			if shed := h.b.room < before; shed != c.shed || before < 40 {
+				t.Errorf("room went from %.1f to %.1f", before, h.b.room)
+			}
+		})
+	}
+}
+
+// A call whose probes all tell of busy servers must ask others, a bounded number of times.
+func TestBusyAnswersAreAskedAgain(t *testing.T) {
+	set := plain()
+	set.Limits.Probes, set.HeldField = true, 1
+	h := start(t, set, ids(30)...)
+	h.b.heldMean = 0.5
+	acts, rounds := h.request(1, 0), 0
+	for len(acts) > 0 && acts[0].Kind == ActProbe {
+		rounds++
+		for _, p := range acts {
+			acts = h.do(Event{Kind: EvProbe, Server: p.Server, Outcome: OK, Report: [4]float32{3}, Values: 1})
+		}
+	}
+	if rounds != askMost || len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Errorf("asked %d times, then %+v; want %d times and a send", rounds, acts, askMost)
+	}
+}
+
+// Where new connections fail, calls keep to servers with an open one and ask only those; what guards against
+// slow handshakes guards against full connection tables as well.
+func TestFailingConnectsKeepToOpenConnections(t *testing.T) {
+	for _, probes := range []bool{false, true} {
+		set := plain()
+		set.Limits.Probes, set.HeldField, set.Limits.Streams, set.Limits.ConnIdle = probes, 1, 100, 30000
+		h := start(t, set, ids(40)...)
+		h.b.connLost = 0.5
+		for i, s := range h.b.live {
+			s.linked, s.heard = i%8 == 0, h.now
+		}
+		astray := 0
+		for id := uint32(1); id <= 50; id++ {
+			h.now += 20
+			queue := h.request(id, 0)
+			for ; len(queue) > 0; queue = queue[1:] {
+				switch a := queue[0]; a.Kind {
+				case ActProbe:
+					queue = append(queue, h.do(Event{Kind: EvProbe, Server: a.Server, Outcome: OK, Values: 1})...)
+				case ActSend:
+					if (a.Server-100)%8 != 0 {
+						astray++
+					}
+					h.b.connLost = 0.5
+					queue = append(queue, h.do(Event{Kind: EvOutcome, Request: id, Server: a.Server, Outcome: OK, Took: 5, Done: true})...)
+				}
+			}
+		}
+		if astray > 5 {
+			t.Errorf("probes %v: %d of 50 calls needed a new connection", probes, astray)
+		}
+	}
+}
+
+// Connections close when idle: a server that answered long ago has none open.
+func TestIdleConnectionsAreNotCountedOn(t *testing.T) {
+	set := plain()
+	set.Limits.ConnIdle, set.Limits.Streams = 5000, 1
+	h := start(t, set, ids(1)...)
+	s := h.b.live[0]
+	s.linked, s.heard = true, h.b.now
+	if !h.b.linked(s) {
+		t.Error("a fresh idle connection is not counted on")
+	}
+	if s.out = 1; h.b.linked(s) {
+		t.Error("a connection that carries one call is counted on for a second")
+	}
+	if s.out, h.b.now = 0, h.b.now+5001; h.b.linked(s) {
+		t.Error("a connection idle for too long is counted on")
+	}
+}
+
+// A class whose mean answer came to pass the aim must not be swept for ever: with nothing sent, no answer
+// could correct the mean.
+func TestSlowClassIsNotStarved(t *testing.T) {
+	h := start(t, plain(), ids(2)...)
+	h.b.classes[2].latency = 900 // the aim is 500
+	if acts := h.request(1, 2); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Fatalf("with a free server: %+v", acts)
+	}
+	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{20, h.now}
+	if acts := h.request(2, 2); len(acts) != 0 {
+		t.Errorf("want the call to wait: %+v", acts)
+	}
+	h.now += 20
+	acts := h.do(Event{Kind: EvOutcome, Request: 1, Server: h.b.requests[1].attempts[0].server.Server, Outcome: OK, Done: true})
+	if len(acts) != 1 || acts[0].Kind != ActSend || acts[0].Request != 2 {
+		t.Errorf("want the waiting call sent: %+v", acts)
+	}
+}
+
+// A copy too sparse for a p95 must still move its room, by its mean answer.
+func TestSparseCopyMovesItsRoom(t *testing.T) {
+	for _, slow := range []float64{1, 8} {
+		h := start(t, plain(), ids(4)...)
+		s := h.b.live[0]
+		for i := range 60 {
+			h.now += 1000
+			h.b.now = h.now
+			took := 80.0
+			if i >= 30 {
+				took *= slow
+			}
+			h.b.learn(s, 0, OK, took)
+			s.cut, s.run = false, 0
+			h.b.out = 25
+			h.b.reviseRoom()
+		}
+		if rose := h.b.room > h.b.firstRoom; rose != (slow == 1) {
+			t.Errorf("answers %v times slower: room %.1f of %.1f at first", slow, h.b.room, h.b.firstRoom)
+		}
+	}
+}
+
+// Servers of different speed must not get equal parts: a slow home server keeps only a part of its calls.
+func TestSlowHomeServerGetsLess(t *testing.T) {
+	h := start(t, plain(), ids(4)...)
+	took := func(server uint32) float64 {
+		if server == 100 {
+			return 150
+		}
+		return 50
+	}
+	got := 0
+	for id := uint32(1); id <= 600; id++ {
+		h.now += 20
+		for _, a := range h.request(id, 0) {
+			if a.Kind == ActSend {
+				if a.Server == 100 && id > 200 {
+					got++
+				}
+				h.do(Event{Kind: EvOutcome, Request: id, Server: a.Server, Outcome: OK, Took: took(a.Server), Done: true})
+			}
+		}
+	}
+	if got > 50 {
+		t.Errorf("the server that is three times slower got %d of 400 calls, an even part is 100", got)
+	}
+}
+
+// The one way to a server checks the rules itself, whatever was decided before.
+func TestSendChecksTheRules(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(h *harness, q *request, s *server)
+	}{
+		{"the request has ended", func(_ *harness, q *request, _ *server) { q.ended = true }},
+		{"a stream has begun", func(_ *harness, q *request, _ *server) { q.streaming = true }},
+		{"another attempt is out", func(_ *harness, q *request, _ *server) { q.open = 1 }},
+		{"past its due time", func(h *harness, q *request, _ *server) { q.due = h.b.now }},
+		{"no attempts left", func(_ *harness, q *request, _ *server) { q.attempts = make([]attempt, 3) }},
+		{"the server drains", func(_ *harness, _ *request, s *server) { s.State = Draining }},
+		{"the server is off the list", func(_ *harness, _ *request, s *server) { s.listed = false }},
+		{"a cold server without credit", func(_ *harness, _ *request, s *server) { s.cold, s.credit = true, 0.9 }},
+		{"it may have run", func(_ *harness, q *request, s *server) { q.class, q.mayRun, q.runServer = 2, true, s }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := start(t, plain(), ids(2)...)
+			fresh := func() *request { return &request{due: h.now + 900, aimAt: h.now + 500} }
+			if !h.b.send(fresh(), h.b.live[0]) {
+				t.Fatal("a plain send is refused")
+			}
+			q := fresh()
+			c.spoil(h, q, h.b.live[1])
+			before := len(h.b.acts)
+			if h.b.send(q, h.b.live[1]) || len(h.b.acts) != before {
+				t.Error("sent all the same")
+			}
+		})
+	}
+}
+
+// What a copy may send to a cold server rises with its age from the least capacity, and is a part of an even
+// share of the copy's own arrivals: all copies together stay under one server's part.
+func TestColdShareIsBounded(t *testing.T) {
+	entries := ids(10)
+	entries[9].Started = 1000
+	h := start(t, plain(), entries...)
+	s := h.b.byID[entries[9].Server]
+	h.b.arrivals = average{100, h.now}
+	h.b.measured, h.b.meanLoad = 1, 1e6
+	for _, age := range []float64{0, 5000, 19999} {
+		h.b.now = 1000 + age
+		warm := 0.2 + 0.8*age/20000
+		if got, most := h.b.loadOf(s), coldPart*10*warm; got > most+1e-9 || got < most/2 {
+			t.Errorf("age %v: load %v, want %v", age, got, most)
+		}
+	}
+	if h.b.now = 21001; h.b.loadOf(s) < 1e5 {
+		t.Error("still bounded when warm")
+	}
+}
+
+// Calls beyond a tenant's quota must leave room for those within theirs: the head of a first-in queue is
+// whoever came first, and the greedy tenant mostly did.
+func TestOverQuotaLeavesRoom(t *testing.T) {
+	set := plain()
+	set.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
+	h := start(t, set, ids(4)...)
+	h.b.room, h.b.roomAt, h.b.sends = 20, math.Inf(1), average{1000, h.now}
+	h.b.out = 12
+	ask := func(id uint32, tenant uint16) []Action {
+		return h.do(Event{Kind: EvRequest, Request: id, Tenant: tenant, Due: h.now + 1000})
+	}
+	for id := uint32(1); id <= 2; id++ {
+		ask(id, 0) // its burst
+	}
+	if acts := ask(3, 0); len(acts) != 1 || acts[0].Kind != ActRefuse || acts[0].After <= 0 {
+		t.Errorf("beyond the quota with half of the room taken: %+v, want a refusal with a Retry-After", acts)
+	}
+	if acts := ask(4, 1); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Errorf("within the quota: %+v, want a send", acts)
+	}
+}
+
+// Fleets are replaced all day: what is kept of servers and calls must not grow with those gone for good.
+func TestMemoryDoesNotGrow(t *testing.T) {
+	set := plain()
+	set.Safety.DrainClose = 1500
+	h := start(t, set)
+	id := uint32(0)
+	for round := range 60 {
+		entries := make([]ServerEntry, 1000)
+		for i := range entries {
+			entries[i] = ServerEntry{Server: uint32(round*1000 + i), Weight: 1}
+		}
+		h.now += 2000
+		h.do(Event{Kind: EvList, List: ListFull, Servers: entries})
+		for range 50 {
+			id++
+			h.now++
+			for _, a := range h.request(id, 0) {
+				if a.Kind == ActSend {
+					h.do(Event{Kind: EvOutcome, Request: id, Server: a.Server, Outcome: OK, Took: 5, Done: true})
+				}
+			}
+		}
+		h.do(Event{Kind: EvTimer})
+	}
+	if len(h.b.byID) > 2000 || len(h.b.live) != 1000 || len(h.b.closing) > 2000 {
+		t.Errorf("%d servers known, %d live, %d to be closed", len(h.b.byID), len(h.b.live), len(h.b.closing))
+	}
+	if len(h.b.requests) != 0 || len(h.b.spare) > 100 || len(h.b.taken.times) > 20000 {
+		t.Errorf("%d calls held, %d spare, %d taken", len(h.b.requests), len(h.b.spare), len(h.b.taken.times))
+	}
+}
+
+// A silent server deep down must not hold its caller's slot longer than an answer can be worth anything.
+func TestInnerCallsAreGivenUpAtTheAim(t *testing.T) {
+	for _, c := range []struct {
+		stage int
+		late  float64
+		want  float64
+	}{{1, 0, 500}, {0, 0, 1000}, {1, 0.5, 1000}} {
+		set := plain()
+		set.Stages, set.Stage = 2, c.stage
+		set.Classes[0].LateWorth = c.late
+		h := start(t, set, ids(2)...)
+		if acts := h.request(1, 0); len(acts) != 1 || acts[0].Until != h.now+c.want {
+			t.Errorf("tier %d, late worth %v: %+v, want it given up after %v", c.stage, c.late, acts, c.want)
+		}
+	}
+}
+
+// A call whose further attempt is allowed must not be ended because all probed servers look busy just then.
+func TestFurtherAttemptSurvivesBusyAnswers(t *testing.T) {
+	set := plain()
+	set.Limits.Probes, set.HeldField = true, 1
+	h := start(t, set, ids(12)...)
+	answer := func(acts []Action, held float32) (last []Action) {
+		for _, a := range acts {
+			if a.Kind == ActProbe {
+				last = h.do(Event{Kind: EvProbe, Server: a.Server, Outcome: OK, Values: 1, Report: [4]float32{held}})
+			}
+		}
+		return last
+	}
+	sent := answer(h.request(1, 0), 0)
+	if len(sent) != 1 || sent[0].Kind != ActSend {
+		t.Fatalf("want a send: %+v", sent)
+	}
+	for _, s := range h.b.live {
+		s.held, s.heldAt = 5, h.b.now
+	}
+	acts := h.do(Event{Kind: EvOutcome, Request: 1, Server: sent[0].Server, Outcome: Error, Took: 1})
+	for range askMost + 1 {
+		for _, a := range acts {
+			switch a.Kind {
+			case ActRefuse, ActFail:
+				t.Fatalf("ended: %+v", acts)
+			case ActSend:
+				return
+			}
+		}
+		acts = answer(acts, 5)
+	}
+	t.Error("the further attempt was never sent")
+}
+
+// Figures that are no numbers must neither poison what is learned nor keep a call for ever.
+func TestBadFiguresDoNoHarm(t *testing.T) {
+	for _, bad := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5} {
+		h := start(t, plain(), ids(2)...)
+		h.b.Handle(bad, &Event{Kind: EvTimer}, nil)
+		if h.b.now != h.now {
+			t.Fatalf("the clock went to %v", h.b.now)
+		}
+		if acts := h.do(Event{Kind: EvRequest, Request: 1, Due: bad}); len(acts) != 1 || acts[0].Kind != ActRefuse {
+			t.Errorf("due %v: %+v, want a refusal", bad, acts)
+		}
+		acts := h.do(Event{Kind: EvRequest, Request: 2, Due: h.now + 1000, Hint: bad})
+		if len(acts) != 1 || acts[0].Kind != ActSend {
+			t.Fatalf("hint %v: %+v, want a send", bad, acts)
+		}
+		h.do(Event{Kind: EvOutcome, Request: 2, Server: acts[0].Server, Outcome: OK, Took: bad, Done: true})
+		if b := h.b; len(b.requests) != 0 || !(b.typical >= 0) || !(b.classes[0].latency >= 0) || math.IsInf(b.typical, 0) {
+			t.Errorf("took %v: %d calls held, mean ratio %v", bad, len(b.requests), b.typical)
+		}
+	}
+}
