Add the sidecar: the module on real sockets

A loop owns the Balancer and all requests; front, upstream and discovery post to it. The attempts' connections are kept in a pool of our own, since http.Transport would send again by itself.

--- /dev/null
+++ b/internal/sidecar/loop.go
@@ -0,0 +1,309 @@
+package sidecar
+
+import (
+	"container/heap"
+	"log/slog"
+	"math"
+	"time"
+
+	"whinknot"
+)
+
+const (
+	// margin is how long before its client gives up a request must be answered: it pays for the way there
+	// and back and for waiting for the core.
+	margin = 25 * time.Millisecond
+	// backstop is how long after that the loop answers what the module has left unanswered.
+	backstop   = 10 * time.Millisecond
+	retryAfter = time.Second // told with a refusal of the loop's own
+)
+
+// call is one request that the sidecar has taken. The loop owns it.
+type call struct {
+	event    whinknot.Event // as the module hears of it
+	out      outgoing
+	arrived  time.Time   // its last byte
+	reply    chan answer // takes the one final answer
+	ended    bool
+	mayRun   bool // an attempt that is over may have run
+	open     int  // attempts out
+	attempts []*attempt
+}
+
+// due is one thing to do at a time: a timer of the module's, or the backstop of a call.
+type due struct {
+	at    float64
+	token uint64
+	call  *call // nil for a timer
+}
+
+// agenda is a heap of them, the next one first.
+type agenda []due
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(due)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	old[len(old)-1] = due{}
+	*a = old[:len(old)-1]
+	return last
+}
+
+// loop owns the Balancer and all state of requests: one goroutine runs it, the rest post to it.
+// It never waits for a socket.
+type loop struct {
+	start     time.Time
+	startMS   float64 // the same as Unix time
+	balancer  *whinknot.Balancer
+	actions   []whinknot.Action
+	mail      chan func()
+	up        *upstream
+	watch     func() // asks for the list to be watched
+	calls     map[uint32]*call
+	lastID    uint32
+	agenda    agenda
+	timer     *time.Timer
+	armed     float64 // when the timer is due
+	directory *directory
+	listed    map[uint32]bool // servers of the list, and whether they are ready
+	usable    int             // those that are
+}
+
+func newLoop(cfg *Config, up *upstream) (*loop, error) {
+	now := time.Now()
+	l := &loop{
+		start: now, startMS: float64(now.UnixMicro()) / 1000,
+		mail: make(chan func(), 256), up: up, watch: func() {},
+		calls: map[uint32]*call{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
+		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
+	}
+	set := cfg.Site.Settings
+	set.Limits.Probes = false // this sidecar sends none
+	set.Limits.ConnIdle = float64(up.idleLimit.Microseconds()) / 1000
+	if set.Limits.MaxOpen == 0 || set.Limits.MaxOpen > up.most {
+		set.Limits.MaxOpen = up.most // each open request may need a connection
+	}
+	var err error
+	l.balancer, err = whinknot.New(set, cfg.Seed, l.now())
+	return l, err
+}
+
+// post has the loop run f; it waits while the loop is behind.
+func (l *loop) post(f func()) { l.mail <- f }
+
+// ask has the loop run f and waits until it has.
+func (l *loop) ask(f func()) {
+	done := make(chan struct{})
+	l.post(func() { f(); close(done) })
+	<-done
+}
+
+// The module's clock is Unix time in milliseconds, as endpoints tell their start, and runs on monotonically.
+func (l *loop) now() float64 { return l.startMS + float64(time.Since(l.start).Microseconds())/1000 }
+func (l *loop) clock(t time.Time) float64 {
+	return l.startMS + float64(t.Sub(l.start).Microseconds())/1000
+}
+func (l *loop) time(ms float64) time.Time { return l.start.Add(millis(ms - l.startMS)) }
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (l *loop) run() {
+	for {
+		select {
+		case f := <-l.mail:
+			f()
+		case <-l.timer.C:
+			l.armed = math.Inf(1)
+		}
+		l.expire()
+		if len(l.agenda) > 0 && l.agenda[0].at < l.armed {
+			l.armed = l.agenda[0].at
+			l.timer.Reset(time.Until(l.time(l.armed)))
+		}
+	}
+}
+
+// expire does what is due.
+func (l *loop) expire() {
+	for len(l.agenda) > 0 && l.agenda[0].at <= l.now() {
+		d := heap.Pop(&l.agenda).(due)
+		if d.call == nil {
+			l.handle(&whinknot.Event{Kind: whinknot.EvTimer, Token: d.token})
+		} else {
+			l.giveUp(d.call)
+		}
+	}
+}
+
+// handle gives the module an event and carries its actions out.
+func (l *loop) handle(ev *whinknot.Event) {
+	l.actions = l.balancer.Handle(l.now(), ev, l.actions[:0])
+	for i := range l.actions {
+		l.carryOut(&l.actions[i])
+	}
+}
+
+func (l *loop) carryOut(a *whinknot.Action) {
+	c := l.calls[a.Request]
+	switch a.Kind {
+	case whinknot.ActSend:
+		if c != nil {
+			l.send(c, a.Server, a.Until)
+		}
+	case whinknot.ActRefuse:
+		l.finish(c, answer{status: statusRefused, retryAfter: millis(a.After)})
+	case whinknot.ActFail:
+		l.finish(c, answer{status: statusFailed})
+	case whinknot.ActCancel:
+		if c != nil && int(a.Attempt) < len(c.attempts) {
+			c.attempts[a.Attempt].callOff()
+		}
+	case whinknot.ActTimer:
+		heap.Push(&l.agenda, due{at: l.now() + a.After, token: a.Token})
+	case whinknot.ActWatch:
+		l.watch()
+	case whinknot.ActClose:
+		l.up.closeAll(a.Server)
+	case whinknot.ActLog:
+		slog.Info(a.Text)
+	}
+}
+
+// take begins a request that has come whole.
+func (l *loop) take(c *call) {
+	l.lastID++
+	c.event.Kind, c.event.Request = whinknot.EvRequest, l.lastID
+	l.calls[l.lastID] = c
+	heap.Push(&l.agenda, due{at: c.event.Due + float64(backstop.Milliseconds()), call: c})
+	l.handle(&c.event)
+}
+
+// send starts an attempt; its goroutine posts the outcome.
+func (l *loop) send(c *call, server uint32, until float64) {
+	a, e, number, sent := newAttempt(), l.up.find(server), len(c.attempts), time.Now()
+	c.attempts = append(c.attempts, a)
+	c.open++
+	go func() {
+		outcome, got := whinknot.NotSent, (*answer)(nil)
+		if e != nil {
+			outcome, got = l.up.do(a, e, &c.out, l.time(until))
+		}
+		took := time.Since(sent)
+		l.post(func() { l.closed(c, number, server, outcome, got, took) })
+	}()
+}
+
+// closed hears how an attempt ended. The first whole answer is the call's final one.
+func (l *loop) closed(c *call, number int, server uint32, o whinknot.Outcome, got *answer, took time.Duration) {
+	c.open--
+	c.mayRun = c.mayRun || o != whinknot.Full && o != whinknot.ConnectFailed && o != whinknot.NotSent
+	if o == whinknot.OK {
+		l.finish(c, *got)
+	}
+	l.handle(&whinknot.Event{
+		Kind: whinknot.EvOutcome, Request: c.event.Request, Attempt: uint16(number), Server: server,
+		Outcome: o, Took: float64(took.Microseconds()) / 1000, Done: c.ended,
+	})
+	l.release(c)
+}
+
+// finish gives the one final answer.
+func (l *loop) finish(c *call, a answer) {
+	if c == nil || c.ended {
+		return
+	}
+	c.ended = true
+	c.reply <- a
+	l.release(c)
+}
+
+// release forgets a call once nothing more can be heard of it.
+func (l *loop) release(c *call) {
+	if c.ended && c.open == 0 {
+		delete(l.calls, c.event.Request)
+	}
+}
+
+// gone hears that the client has left: nothing more is owed, and nothing more goes out.
+func (l *loop) gone(c *call) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	l.handle(&whinknot.Event{Kind: whinknot.EvGone, Request: c.event.Request})
+	l.callOff(c)
+	l.release(c)
+}
+
+// callOff ends the attempts of a call that has ended, also where the module may not cancel.
+func (l *loop) callOff(c *call) {
+	for _, a := range c.attempts {
+		a.callOff()
+	}
+}
+
+// giveUp is the backstop: it answers a call that the module has left unanswered, with a refusal only
+// if nothing of it can have run.
+func (l *loop) giveUp(c *call) {
+	if c.ended {
+		return
+	}
+	a := answer{status: statusFailed}
+	if !c.mayRun && c.open == 0 {
+		a = answer{status: statusRefused, retryAfter: retryAfter}
+	}
+	l.callOff(c)
+	l.finish(c, a)
+	l.handle(&whinknot.Event{Kind: whinknot.EvGone, Request: c.event.Request})
+}
+
+// giveUpAll does so for every call, as the program must end now.
+func (l *loop) giveUpAll() {
+	for _, c := range l.calls {
+		l.giveUp(c)
+	}
+}
+
+// list hears what discovery tells.
+func (l *loop) list(list List, kind whinknot.ListKind) {
+	ev := whinknot.Event{Kind: whinknot.EvList, List: kind}
+	whole := kind != whinknot.ListDelta
+	before := l.listed
+	if whole {
+		l.listed = make(map[uint32]bool, len(list.Targets))
+	}
+	for i := range list.Targets {
+		t := &list.Targets[i]
+		e := l.directory.entry(t)
+		ev.Servers = append(ev.Servers, e)
+		l.up.list(e.Server, t.Endpoint, e.Started, e.State)
+		if e.State == whinknot.Gone {
+			delete(l.listed, e.Server)
+		} else {
+			l.listed[e.Server] = e.State == whinknot.Ready
+		}
+	}
+	if whole {
+		for id := range before {
+			if _, ok := l.listed[id]; !ok {
+				l.up.list(id, "", 0, whinknot.Gone)
+			}
+		}
+	}
+	l.directory.forget(func(id uint32) bool { _, ok := l.listed[id]; return ok })
+	l.usable = 0
+	for _, ready := range l.listed {
+		if ready {
+			l.usable++
+		}
+	}
+	l.handle(&ev)
+}
+
+// listFailed hears that a call to discovery failed or its watch broke.
+func (l *loop) listFailed() {
+	l.handle(&whinknot.Event{Kind: whinknot.EvList, List: whinknot.ListFailed})
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -15,6 +15,8 @@
 	Stage          int        `json:"stage"`
 	Stages         []string   `json:"stages"`
 	Locality       int        `json:"locality"`
+	Zones          []string   `json:"zones"`
+	Kinds          []string   `json:"kinds"`
 	Membership     string     `json:"membershipMode"`
 	WorthBy        string     `json:"worthBy"`
 	OverShareWorth *float64   `json:"overShareWorth"`
@@ -81,11 +83,23 @@
 	"cell": whinknot.GroupCell,
 }
 
+// Site is the settings object with the names that the module knows by number only.
+type Site struct {
+	Settings     whinknot.Settings
+	Zones, Kinds []string
+}
+
 // ParseSettings reads the settings object that a start event carries.
 func ParseSettings(text []byte) (whinknot.Settings, error) {
+	site, err := ParseSite(text)
+	return site.Settings, err
+}
+
+// ParseSite reads the same object for a host that meets zones and kinds by name.
+func ParseSite(text []byte) (Site, error) {
 	var env envSettings
 	if err := json.Unmarshal(text, &env); err != nil {
-		return whinknot.Settings{}, fmt.Errorf("settings: %w", err)
+		return Site{}, fmt.Errorf("settings: %w", err)
 	}
 	l, s := env.Limits, env.Safety
 	set := whinknot.Settings{
@@ -114,14 +128,14 @@
 	for i, c := range env.Classes {
 		class, err := c.class()
 		if err != nil {
-			return whinknot.Settings{}, fmt.Errorf("settings: classes[%d]: %w", i, err)
+			return Site{}, fmt.Errorf("settings: classes[%d]: %w", i, err)
 		}
 		set.Classes = append(set.Classes, class)
 	}
 	for _, p := range env.Parties {
 		set.Tenants = append(set.Tenants, whinknot.Tenant{Name: p.Name, Quota: p.QuotaPerS})
 	}
-	return set, nil
+	return Site{Settings: set, Zones: env.Zones, Kinds: env.Kinds}, nil
 }
 
 // class turns one class of the settings into the module's; an absent effect is
