--- /dev/null
+++ b/cmd/milletmast/config_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peers":["127.0.0.1:1"],
+	"known":{"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","az":"z","state":"Ready"}]},
+	"settings":{"stages":["a"],"zones":["z"],"classes":[{"name":"read","aim":500,"giveUp":1000,"effect":"read_like"}]}}`
+
+// env writes a configuration and returns the environment that names it.
+func env(t *testing.T, text string) func(string) string {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func(name string) string {
+		return map[string]string{"RELAY_CONFIG": path, "RELAY_LISTEN": "127.0.0.1:7000"}[name]
+	}
+}
+
+func TestLoad(t *testing.T) {
+	cfg, err := load(env(t, good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Name != "n3" || cfg.Listen != "127.0.0.1:8443" || cfg.Seed != 0x8c1f30d27a5be964 || cfg.Sockets != 1024 ||
+		cfg.Known.Rev != 41 || len(cfg.Known.Targets) != 1 || cfg.Site.Settings.Classes[0].Name != "read" {
+		t.Errorf("configuration %+v", cfg)
+	}
+	cfg, err = load(env(t, strings.Replace(good, `"listen":"127.0.0.1:8443",`, "", 1)))
+	if err != nil || cfg.Listen != "127.0.0.1:7000" {
+		t.Errorf("listen %q, error %v: RELAY_LISTEN stands in for what the file leaves out", cfg.Listen, err)
+	}
+}
+
+// A bad configuration must be told in one line that names the field.
+func TestLoadNamesTheField(t *testing.T) {
+	for field, edit := range map[string][2]string{
+		"config.json":       {`{"name"`, `{name`},
+		"discovery":         {`127.0.0.1:8500`, `nowhere`},
+		"listen":            {`127.0.0.1:8443`, `8443`},
+		"seed":              {`8c1f30d27a5be964`, `often`},
+		"limits.memory_mb":  {`"memory_mb":192`, `"memory_mb":0`},
+		"limits.sockets":    {`"sockets":1024`, `"sockets":12`},
+		"known: targets[0]": {`"state":"Ready"`, `"state":"Odd"`},
+		"classes[0]":        {`read_like`, `maybe`},
+	} {
+		_, err := load(env(t, strings.Replace(good, edit[0], edit[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", field, err)
+		}
+	}
+	if _, err := load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
+		t.Errorf("no file named: error %v", err)
+	}
+}
--- a/cmd/milletmast/main.go
+++ b/cmd/milletmast/main.go
@@ -37,5 +37,9 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return sidecar.Run(ctx, cfg)
+	s, err := sidecar.New(cfg)
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -119,41 +121,46 @@
 // discovery holds the watch on the list. Where the list is asked for, the module says when to watch;
 // where it is pushed, the watch is on an agent nearby and is taken up again by itself.
 type discovery struct {
-	addr   string
-	pushed bool
-	rev    int64           // version of the list held
-	tell   func(List)      // a list or a change came
-	failed func(err error) // a call failed or a watch broke
+	addr    string
+	rev     int64         // version of the list held
+	silence time.Duration // after which a watch is dead
+	tell    func(List)    // a list or a change came
+	failed  func()        // a call failed or a watch broke
 }
 
-// follow keeps a pushed list watched for as long as the program runs.
-func (d *discovery) follow() {
+// follow keeps a pushed list watched until ctx ends.
+func (d *discovery) follow(ctx context.Context) {
 	wait := backoffFirst
-	for {
+	for ctx.Err() == nil {
 		rev := d.rev
-		d.once()
+		d.once(ctx)
 		if d.rev != rev {
 			wait = backoffFirst
 		}
-		time.Sleep(wait/2 + rand.N(wait))
+		select {
+		case <-time.After(wait/2 + rand.N(wait)):
+		case <-ctx.Done():
+		}
 		wait = min(2*wait, backoffMost)
 	}
 }
 
 // once watches until the watch ends, which it reports.
-func (d *discovery) once() {
-	err := d.watch()
+func (d *discovery) once(ctx context.Context) {
+	err := d.watch(ctx)
 	slog.Info("watch ended", "rev", d.rev, "err", err)
-	d.failed(err)
+	d.failed()
 }
 
 // watch makes one call and passes on what comes; it returns when the watch is over.
-func (d *discovery) watch() error {
-	c, err := net.DialTimeout("tcp", d.addr, dialList)
+func (d *discovery) watch(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: dialList}
+	c, err := dialer.DialContext(ctx, "tcp", d.addr)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
 	uri := "http://" + d.addr + "/api/targets?follow=1&since=" + strconv.FormatInt(d.rev, 10)
 	req, err := http.NewRequest(http.MethodGet, uri, nil)
 	if err != nil {
@@ -173,7 +180,7 @@
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(make([]byte, 0, 1<<14), maxLine)
 	for lines.Scan() {
-		c.SetDeadline(time.Now().Add(watchSilence))
+		c.SetDeadline(time.Now().Add(d.silence))
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
@@ -185,12 +192,5 @@
 		d.rev = l.Rev
 		d.tell(l)
 	}
-	return cmpErr(lines.Err(), io.EOF)
-}
-
-func cmpErr(err, otherwise error) error {
-	if err != nil {
-		return err
-	}
-	return otherwise
+	return cmp.Or(lines.Err(), io.EOF)
 }
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -149,9 +149,8 @@
 			Class: index, Tenant: tenant, Hint: hint / 1000,
 			Due: f.loop.clock(arrived) + 1000*wait - float64(margin.Milliseconds()),
 		},
-		out:     outgoing{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body},
-		arrived: arrived,
-		reply:   make(chan answer, 1),
+		out:   outgoing{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body},
+		reply: make(chan answer, 1),
 	}
 	if c.out.header.Get("User-Agent") == "" {
 		c.out.header.Set("User-Agent", "") // none, rather than the library's
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -22,7 +22,6 @@
 type call struct {
 	event    whinknot.Event // as the module hears of it
 	out      outgoing
-	arrived  time.Time   // its last byte
 	reply    chan answer // takes the one final answer
 	ended    bool
 	mayRun   bool // an attempt that is over may have run
@@ -60,6 +59,7 @@
 	balancer  *whinknot.Balancer
 	actions   []whinknot.Action
 	mail      chan func()
+	ended     chan struct{} // closed when the program ends
 	up        *upstream
 	watch     func() // asks for the list to be watched
 	calls     map[uint32]*call
@@ -76,7 +76,7 @@
 	now := time.Now()
 	l := &loop{
 		start: now, startMS: float64(now.UnixMicro()) / 1000,
-		mail: make(chan func(), 256), up: up, watch: func() {},
+		mail: make(chan func(), 256), ended: make(chan struct{}), up: up, watch: func() {},
 		calls: map[uint32]*call{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
 	}
@@ -91,14 +91,22 @@
 	return l, err
 }
 
-// post has the loop run f; it waits while the loop is behind.
-func (l *loop) post(f func()) { l.mail <- f }
+// post has the loop run f, unless it has ended; it waits while the loop is behind.
+func (l *loop) post(f func()) {
+	select {
+	case l.mail <- f:
+	case <-l.ended:
+	}
+}
 
 // ask has the loop run f and waits until it has.
 func (l *loop) ask(f func()) {
 	done := make(chan struct{})
 	l.post(func() { f(); close(done) })
-	<-done
+	select {
+	case <-done:
+	case <-l.ended:
+	}
 }
 
 // The module's clock is Unix time in milliseconds, as endpoints tell their start, and runs on monotonically.
@@ -113,6 +121,8 @@
 func (l *loop) run() {
 	for {
 		select {
+		case <-l.ended:
+			return
 		case f := <-l.mail:
 			f()
 		case <-l.timer.C:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,11 +4,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"time"
 
 	"whinknot"
@@ -37,54 +35,73 @@
 	exitBefore = 0.35 // seconds before SIGKILL at which what is left is given up
 )
 
-// Run serves until ctx ends, then finishes what was taken.
-func Run(ctx context.Context, cfg Config) error {
+// Sidecar is one running copy.
+type Sidecar struct {
+	cfg       Config
+	loop      *loop
+	front     *front
+	discovery *discovery
+	listener  net.Listener
+	callers   int // connections that callers may hold
+}
+
+// New checks what the sidecar is told and opens its listener; requests wait there until Run.
+func New(cfg Config) (*Sidecar, error) {
 	free := cfg.Sockets - reserved(cfg.Sockets)
-	callers := int(callerPart * float64(free))
-	up := newUpstream(cfg.Site.Settings.Limits, free-callers)
-	l, err := newLoop(&cfg, up)
-	if err != nil {
-		return err
+	s := &Sidecar{cfg: cfg, callers: int(callerPart * float64(free))}
+	set := &s.cfg.Site.Settings
+	var err error
+	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, free-s.callers)); err != nil {
+		return nil, err
 	}
-	d := &discovery{
-		addr: cfg.Discovery, rev: cfg.Known.Rev,
+	s.discovery = &discovery{
+		addr: cfg.Discovery, rev: cfg.Known.Rev, silence: watchSilence,
 		tell: func(list List) {
 			kind := whinknot.ListDelta
 			if list.All {
 				kind = whinknot.ListFull
 			}
-			l.post(func() { l.list(list, kind) })
+			s.loop.post(func() { s.loop.list(list, kind) })
 		},
-		failed: func(error) { l.post(l.listFailed) },
+		failed: func() { s.loop.post(s.loop.listFailed) },
 	}
-	if cfg.Site.Settings.ListOnRequest {
-		l.watch = func() { go d.once() }
+	s.front = newFront(s.loop, set, s.callers)
+	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
 	}
-	f := newFront(l, &cfg.Site.Settings, callers)
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	go l.run()
-	l.post(func() { l.list(cfg.Known, whinknot.ListCached) })
-	if !cfg.Site.Settings.ListOnRequest {
-		go d.follow()
+	return s, nil
+}
+
+// Run serves until ctx ends, then finishes what was taken.
+func (s *Sidecar) Run(ctx context.Context) error {
+	watching, stop := context.WithCancel(context.Background()) // drains count to the end
+	defer stop()
+	defer close(s.loop.ended)
+	if s.cfg.Site.Settings.ListOnRequest {
+		s.loop.watch = func() { go s.discovery.once(watching) }
+	} else {
+		go s.discovery.follow(watching)
 	}
+	go s.loop.run()
+	s.loop.post(func() { s.loop.list(s.cfg.Known, whinknot.ListCached) })
 	served := make(chan error, 1)
-	go func() { served <- f.server.Serve(&limited{ln, make(chan struct{}, callers)}) }()
-	slog.Info("serving", "listen", cfg.Listen, "known", len(cfg.Known.Targets), "rev", cfg.Known.Rev)
+	go func() {
+		served <- s.front.server.Serve(&limited{s.listener, make(chan struct{}, s.callers)})
+	}()
+	slog.Info("serving", "listen", s.listener.Addr(), "known", len(s.cfg.Known.Targets), "rev", s.cfg.Known.Rev)
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
+	return s.front.drain(s.listener, s.last())
+}
+
+// last is the time from SIGTERM at which what is left is given up, so as to be answered before SIGKILL.
+func (s *Sidecar) last() time.Duration {
 	longest := 0.0
-	for _, c := range cfg.Site.Settings.Classes {
+	for _, c := range s.cfg.Site.Settings.Classes {
 		longest = max(longest, c.GiveUp/1000)
 	}
-	last := time.Duration((min(longest, killMost) + killAfter - exitBefore) * float64(time.Second))
-	if err := f.drain(ln, last); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("shutdown: %w", err)
-	}
-	return nil
+	return time.Duration((min(longest, killMost) + killAfter - exitBefore) * float64(time.Second))
 }
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,500 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"whinknot"
+	"whinknot/internal/wire"
+)
+
+const settings = `{"balancers": 1, "stages": ["a"], "zones": ["z"], "kinds": ["k"],
+	"limits": {"maxAttempts": 4, "cancel": true, "connectTimeout": 250, "connIdle": 10000},
+	"safety": {"answerSlack": 20, "drainGrace": 500, "coldFrom": 0.3, "rampTime": 8000, "askEvery": 10000},
+	"classes": [{"name": "read", "aim": 1000, "giveUp": 2500, "effect": "read_like"},
+		{"name": "pay", "aim": 1000, "giveUp": 2500, "effect": "non_idempotent"},
+		{"name": "add", "aim": 1000, "giveUp": 2500, "effect": "idempotency_key", "group": "cell", "dedupWindow": 10000}]}`
+
+// config is one of a sidecar whose list holds the given addresses; its discovery answers nothing.
+func config(t *testing.T, addrs ...string) Config {
+	t.Helper()
+	site, err := wire.ParseSite([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := Config{Name: "n", Listen: "127.0.0.1:0", Discovery: listen(t).Addr().String(), Sockets: 256, Site: site}
+	for i, a := range addrs {
+		cfg.Known.Targets = append(cfg.Known.Targets,
+			Target{UID: fmt.Sprint("s-", i), Endpoint: a, Zone: "z", Kind: "k", State: "Ready"})
+	}
+	return cfg
+}
+
+// start runs a sidecar; stop asks it to end and waits until it has.
+func start(t *testing.T, cfg Config) (s *Sidecar, stop func() error) {
+	t.Helper()
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	stop = func() error {
+		cancel()
+		select {
+		case err := <-ended:
+			ended <- err
+			return err
+		case <-time.After(long):
+			return fmt.Errorf("it did not end")
+		}
+	}
+	t.Cleanup(func() { s.front.server.Close(); cancel() })
+	return s, stop
+}
+
+// dial opens a caller's connection to the sidecar.
+func dial(t *testing.T, s *Sidecar) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &caller{c, bufio.NewReader(c)}
+}
+
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// send writes one request.
+func (c *caller) send(method, class, body string, headers ...string) {
+	text := fmt.Sprintf("%s /%s/x?a=%%2F HTTP/1.1\r\nHost: backend.local\r\nX-Class: %s\r\n", method, class, class)
+	for _, h := range append([]string{"X-Request-Id: id"}, headers...) {
+		text += h + "\r\n"
+	}
+	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", text, len(body), body) // the answer tells how that went
+}
+
+// answer reads one answer whole.
+func (c *caller) answer(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(long))
+	res, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, string(body)
+}
+
+// echo serves every request with what came.
+func echo(_ int, c net.Conn, r *http.Request) bool {
+	body := fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get("X-Request-Id"), " ", r.Header.Get("Idempotency-Key"))
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return true
+}
+
+func TestServes(t *testing.T) {
+	s, _ := start(t, config(t, script(t, echo).Addr().String()))
+	c := dial(t, s)
+	for range 3 { // on one kept connection
+		c.send("GET", "read", "", "X-Deadline: 2.000")
+		if res, body := c.answer(t); res.StatusCode != 200 || body != "GET /read/x?a=%2F id " {
+			t.Fatalf("status %d, body %q", res.StatusCode, body)
+		}
+	}
+	c.send("POST", "add", "box", "X-Deadline: 2.000", "Idempotency-Key: k1")
+	if res, body := c.answer(t); res.StatusCode != 200 || body != "POST /add/x?a=%2F id k1" {
+		t.Errorf("status %d, body %q", res.StatusCode, body)
+	}
+}
+
+// What is malformed gets a plain 4xx and goes nowhere.
+func TestMalformedRequestsGoNowhere(t *testing.T) {
+	requests := make(chan struct{}, 100)
+	s, _ := start(t, config(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
+		requests <- struct{}{}
+		return echo(n, c, r)
+	}).Addr().String()))
+	for _, c := range []struct {
+		name, method, class, body string
+		headers                   []string
+		want                      int
+	}{
+		{"unknown class", "GET", "nothing", "", nil, 404},
+		{"other class in the path", "GET", "read", "", []string{"X-Class: pay"}, 200}, // the first X-Class counts
+		{"method", "POST", "read", "", nil, 405},
+		{"no key", "POST", "add", "", nil, 400},
+		{"deadline", "GET", "read", "", []string{"X-Deadline: soon"}, 400},
+		{"negative deadline", "GET", "read", "", []string{"X-Deadline: -1"}, 400},
+		{"deadline that is no number", "GET", "read", "", []string{"X-Deadline: NaN"}, 400},
+		{"long body", "POST", "pay", strings.Repeat("x", maxBody+1), nil, 413},
+	} {
+		caller := dial(t, s)
+		caller.send(c.method, c.class, c.body, c.headers...)
+		if res, _ := caller.answer(t); res.StatusCode != c.want {
+			t.Errorf("%s: status %d, want %d", c.name, res.StatusCode, c.want)
+		}
+	}
+	if n := len(requests); n != 1 {
+		t.Errorf("%d requests went on, want the one that is well formed", n)
+	}
+}
+
+// An unsafe request whose connection broke may have run: it is neither sent again nor refused.
+func TestUnsafeIsSentOnce(t *testing.T) {
+	requests := make(chan struct{}, 10)
+	broken := func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false }
+	s, _ := start(t, config(t, script(t, broken).Addr().String(), script(t, broken).Addr().String()))
+	c := dial(t, s)
+	c.send("POST", "pay", "1")
+	if res, _ := c.answer(t); res.StatusCode != statusFailed || len(requests) != 1 {
+		t.Errorf("status %d after %d sends, want a failure after one", res.StatusCode, len(requests))
+	}
+}
+
+// One that was turned away never ran: it goes to another endpoint, here one that serves it.
+func TestTurnedAwayGoesElsewhere(t *testing.T) {
+	full := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	s, _ := start(t, config(t, full.Addr().String(), script(t, echo).Addr().String()))
+	c := dial(t, s)
+	for range 4 {
+		c.send("POST", "pay", "1")
+		if res, _ := c.answer(t); res.StatusCode != 200 {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+}
+
+// A refusal says when to come back, and comes long before the deadline.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	full := func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	s, _ := start(t, config(t, script(t, full).Addr().String()))
+	c := dial(t, s)
+	c.send("POST", "pay", "1")
+	res, _ := c.answer(t)
+	after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	if res.StatusCode != statusRefused || err != nil || after <= 0 {
+		t.Errorf("status %d, Retry-After %q", res.StatusCode, res.Header.Get("Retry-After"))
+	}
+}
+
+// A client that leaves ends the attempt: its endpoint must not work for nobody.
+func TestClientGone(t *testing.T) {
+	came, left := make(chan struct{}), make(chan struct{})
+	s, _ := start(t, config(t, script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		close(came)
+		c.Read(make([]byte, 1))
+		close(left)
+		return false
+	}).Addr().String()))
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	<-came
+	c.Close()
+	select {
+	case <-left:
+	case <-time.After(long):
+		t.Fatal("the attempt stayed out")
+	}
+	for calls := 1; calls != 0; { // and nothing of the request is kept
+		s.loop.ask(func() { calls = len(s.loop.calls) })
+	}
+}
+
+// An endpoint that never answers: the caller still gets its one answer in time, and as a failure.
+func TestSilentEndpoint(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	s, _ := start(t, config(t, script(t, func(int, net.Conn, *http.Request) bool { <-release; return false }).Addr().String()))
+	c := dial(t, s)
+	c.send("POST", "pay", "1", "X-Deadline: 0.300")
+	if res, _ := c.answer(t); res.StatusCode != statusFailed {
+		t.Errorf("status %d, want a failure", res.StatusCode)
+	}
+}
+
+// The backstop refuses only what cannot have run, and answers once.
+func TestBackstopIsHonest(t *testing.T) {
+	cfg := config(t)
+	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		call *call
+		want int
+	}{
+		"nothing sent": {&call{}, statusRefused},
+		"may have run": {&call{mayRun: true}, statusFailed},
+		"still out":    {&call{open: 1, attempts: []*attempt{newAttempt()}}, statusFailed},
+	} {
+		c.call.reply = make(chan answer, 1)
+		l.giveUp(c.call)
+		l.giveUp(c.call) // a second answer would block the loop here
+		if a := <-c.call.reply; a.status != c.want {
+			t.Errorf("%s: status %d, want %d", name, a.status, c.want)
+		}
+		for _, a := range c.call.attempts {
+			if a.claim() {
+				t.Errorf("%s: an attempt could still go out", name)
+			}
+		}
+	}
+}
+
+// Ready is told only once there is an endpoint to send to.
+func TestReady(t *testing.T) {
+	for want, addrs := range map[int][]string{503: nil, 200: {"127.0.0.1:1"}} {
+		s, _ := start(t, config(t, addrs...))
+		res, err := http.Get("http://" + s.listener.Addr().String() + "/-/ready")
+		if err != nil || res.StatusCode != want {
+			t.Errorf("%v with %d endpoints, want %d", res, len(addrs), want)
+		}
+	}
+}
+
+// At SIGTERM new connections go on being served, answers end theirs, what was taken is finished,
+// and only then does the program end.
+func TestDrain(t *testing.T) {
+	came, release := make(chan struct{}), make(chan struct{})
+	s, stop := start(t, config(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Hold") != "" {
+			close(came)
+			<-release
+		}
+		return echo(n, c, r)
+	}).Addr().String()))
+	slow := dial(t, s)
+	slow.send("GET", "read", "", "X-Hold: 1")
+	<-came
+	ended := make(chan error)
+	go func() { ended <- stop() }()
+	for !s.front.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	late := dial(t, s)
+	late.send("GET", "read", "")
+	if res, _ := late.answer(t); res.StatusCode != 200 || !res.Close {
+		t.Errorf("status %d, close %v: a late caller must be served and its connection ended", res.StatusCode, res.Close)
+	}
+	close(release)
+	if res, _ := slow.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d for what was taken before", res.StatusCode)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// What an endpoint holds too long is answered before SIGKILL comes.
+func TestDrainGivesUpInTime(t *testing.T) {
+	came, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	cfg := config(t, script(t, func(int, net.Conn, *http.Request) bool { close(came); <-release; return false }).Addr().String())
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.loop.run()
+	s.loop.post(func() { s.loop.list(cfg.Known, whinknot.ListCached) })
+	go s.front.server.Serve(s.listener)
+	c := dial(t, s)
+	c.send("POST", "pay", "1")
+	<-came
+	ended := make(chan error)
+	go func() { ended <- s.front.drain(s.listener, acceptTime) }()
+	if res, _ := c.answer(t); res.StatusCode != statusFailed {
+		t.Errorf("status %d, want a failure", res.StatusCode)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// More callers than there are descriptors for wait to be accepted; once one leaves they are served.
+func TestCallerLimit(t *testing.T) {
+	ln := &limited{listen(t), make(chan struct{}, 1)}
+	accepted := make(chan net.Conn)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for range 2 {
+		if _, err := net.Dial("tcp", ln.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := <-accepted
+	if len(ln.slots) != 1 {
+		t.Fatalf("%d slots taken by one caller", len(ln.slots))
+	}
+	first.Close()
+	first.Close() // a second close must not free a second slot
+	second := <-accepted
+	second.Close()
+}
+
+// discover serves watches; each gets what f writes until it returns.
+func discover(t *testing.T, f func(since string, tell func(List), beat func())) string {
+	t.Helper()
+	return script(t, func(_ int, c net.Conn, r *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk := func(text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+		f(r.URL.Query().Get("since"), func(l List) {
+			text, err := json.Marshal(l)
+			if err != nil {
+				t.Error(err)
+			}
+			chunk(string(text) + "\n")
+		}, func() { chunk("\n") })
+		return false
+	}).Addr().String()
+}
+
+// A watch brings an endpoint in, and a drain that it tells reaches the module before anything else is sent.
+func TestWatch(t *testing.T) {
+	next, done := make(chan string), make(chan struct{})
+	defer close(done)
+	addr := script(t, echo).Addr().String()
+	cfg := config(t)
+	cfg.Known.Rev = 7
+	cfg.Discovery = discover(t, func(since string, tell func(List), beat func()) {
+		beat()
+		for rev := int64(8); ; rev++ {
+			select {
+			case state := <-next:
+				tell(List{Rev: rev, Targets: []Target{{UID: "s-" + since, Endpoint: addr, Zone: "z", State: state}}})
+			case <-done:
+				return
+			}
+		}
+	})
+	s, _ := start(t, cfg)
+	usable := func(want int) {
+		t.Helper()
+		for got, end := -1, time.Now().Add(long); got != want; {
+			if s.loop.ask(func() { got = s.loop.usable }); time.Now().After(end) {
+				t.Fatalf("%d usable, want %d", got, want)
+			}
+		}
+	}
+	next <- "Ready"
+	usable(1)
+	if id := newDirectory(nil, nil).id("s-7"); s.loop.up.find(id) == nil {
+		t.Error("the watch did not begin at the version that was known")
+	}
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	next <- "Terminating"
+	usable(0)
+	c.send("GET", "read", "", "X-Deadline: 0.200")
+	if res, _ := c.answer(t); res.StatusCode != statusRefused {
+		t.Errorf("status %d with every endpoint draining, want a refusal", res.StatusCode)
+	}
+	next <- "Gone"
+	for gone := false; !gone; {
+		s.loop.ask(func() { gone = len(s.loop.listed) == 0 && len(s.loop.directory.ids) == 0 })
+	}
+}
+
+// A whole list takes away what it does not name.
+func TestWholeListReplaces(t *testing.T) {
+	cfg := config(t, "127.0.0.1:1", "127.0.0.1:2")
+	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.list(cfg.Known, whinknot.ListCached)
+	first, second := l.directory.id("s-0"), l.directory.id("s-1")
+	l.list(List{Targets: cfg.Known.Targets[1:]}, whinknot.ListFull)
+	if l.usable != 1 || l.up.find(first) != nil || l.up.find(second) == nil {
+		t.Errorf("%d usable of one that is listed", l.usable)
+	}
+}
+
+// A watch that says nothing for several beats is dead, however open its connection: it ends, is reported,
+// and a pushed list is watched again from the version that is held.
+func TestSilentWatchIsTakenUpAgain(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	calls := make(chan string, 10)
+	d := &discovery{silence: 30 * time.Millisecond, rev: 3, tell: func(List) {}, failed: func() {}}
+	d.addr = discover(t, func(since string, tell func(List), beat func()) {
+		calls <- since
+		tell(List{Rev: 4})
+		<-done
+	})
+	go d.follow(t.Context())
+	if first, second := <-calls, <-calls; first != "3" || second != "4" {
+		t.Errorf("watches since %s and %s, want 3 and 4", first, second)
+	}
+}
+
+// Where the list is asked for, the module decides when to ask again, so it must hear of each failure.
+func TestFailedCallIsReported(t *testing.T) {
+	failed := make(chan struct{}, 1)
+	d := &discovery{silence: long, tell: func(List) { t.Error("a list came") }, failed: func() { failed <- struct{}{} }}
+	for name, text := range map[string]string{
+		"turned away": "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+		"reset":       "",
+		"no list":     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nno!\n",
+		"bad state":   "HTTP/1.1 200 OK\r\n\r\n" + `{"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"Odd"}]}` + "\n",
+		"bad address": "HTTP/1.1 200 OK\r\n\r\n" + `{"targets":[{"uid":"a","endpoint":"nowhere","state":"Ready"}]}` + "\n",
+	} {
+		d.addr = script(t, func(_ int, c net.Conn, _ *http.Request) bool { io.WriteString(c, text); return false }).Addr().String()
+		d.once(t.Context())
+		select {
+		case <-failed:
+		default:
+			t.Errorf("%s: not reported", name)
+		}
+	}
+}
+
+// Every sidecar must give a server the same id, in whatever order it hears of them: homes are dealt out by it.
+func TestIDsDoNotDependOnOrder(t *testing.T) {
+	a, b := newDirectory(nil, nil), newDirectory(nil, nil)
+	for i := range 500 {
+		a.id(fmt.Sprint("s-", i))
+		b.id(fmt.Sprint("s-", 499-i))
+	}
+	for uid, id := range a.ids {
+		if b.ids[uid] != id {
+			t.Errorf("%s is %d and %d", uid, id, b.ids[uid])
+		}
+	}
+	if len(a.taken) != 500 {
+		t.Errorf("%d ids for 500 servers", len(a.taken))
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -133,13 +133,12 @@
 	return u.endpoints[id]
 }
 
-// attempt is one send of a request. claim settles whether it goes out or is called off, once for all.
+// attempt is the handle on one send of a request.
 type attempt struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	mu     sync.Mutex
-	off    bool // called off before the first byte
-	begun  bool // the first byte is on its way
+	off    bool // called off
 }
 
 func newAttempt() *attempt {
@@ -160,8 +159,7 @@
 func (a *attempt) claim() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.begun = !a.off
-	return a.begun
+	return !a.off
 }
 
 // do carries one attempt out and tells how it ended, as the module names it.
--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,314 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"whinknot"
+)
+
+const long = 10 * time.Second // no test that passes waits for so long
+
+// listen opens a loopback listener that ends with the test.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// script serves every connection with f, which gets the requests one by one; it is closed when f says so.
+func script(t *testing.T, f func(n int, c net.Conn, req *http.Request) (more bool)) net.Listener {
+	t.Helper()
+	ln := listen(t)
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					if !f(n, c, req) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln
+}
+
+func get() *outgoing {
+	return &outgoing{method: "GET", uri: "/browse/x?q=%20", host: "backend.local", header: http.Header{"X-Request-Id": {"1"}}}
+}
+
+// attemptOn carries out one attempt on the server 1 of u.
+func attemptOn(u *upstream, wait time.Duration) (whinknot.Outcome, *answer) {
+	return u.do(newAttempt(), u.find(1), get(), time.Now().Add(wait))
+}
+
+func pool(addr string, most int) *upstream {
+	u := newUpstream(whinknot.Limits{}, most)
+	u.list(1, addr, 0, whinknot.Ready)
+	return u
+}
+
+// What an endpoint does must reach the module as the outcome that says truly whether the request can have run:
+// the module sends again and refuses by it.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		does string // what is written before the connection ends
+		want whinknot.Outcome
+	}{
+		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", whinknot.OK},
+		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
+		{"turned away", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Full},
+		{"over already", "HTTP/1.1 504 G\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Full},
+		{"503 that does not say so", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
+		{"500 is no turning away", "HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
+		{"closed unanswered", "", whinknot.Reset},
+		{"cut in the header", "HTTP/1.1 200 OK\r\nContent-", whinknot.Reset},
+		{"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", whinknot.Reset},
+		{"cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", whinknot.Reset},
+		{"body over the limit", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("x", maxBody+1), whinknot.Error},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln := script(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				io.WriteString(conn, c.does)
+				return false
+			})
+			got, a := attemptOn(pool(ln.Addr().String(), 4), long)
+			if got != c.want || (a != nil) != (c.want == whinknot.OK) {
+				t.Errorf("outcome %v with answer %v, want %v", got, a, c.want)
+			}
+		})
+	}
+	t.Run("silent", func(t *testing.T) {
+		release := make(chan struct{})
+		defer close(release)
+		ln := script(t, func(int, net.Conn, *http.Request) bool { <-release; return false })
+		if got, _ := attemptOn(pool(ln.Addr().String(), 4), 50*time.Millisecond); got != whinknot.Timeout {
+			t.Errorf("outcome %v, want a timeout", got)
+		}
+	})
+	t.Run("refused", func(t *testing.T) {
+		ln := listen(t)
+		ln.Close()
+		if got, _ := attemptOn(pool(ln.Addr().String(), 4), long); got != whinknot.ConnectFailed {
+			t.Errorf("outcome %v, want a failed connect", got)
+		}
+	})
+}
+
+// http.Transport would send this request again by itself: a second attempt that nobody decided on.
+func TestBrokenConnectionIsNotSentAgain(t *testing.T) {
+	requests := make(chan int, 10)
+	ln := script(t, func(n int, c net.Conn, _ *http.Request) bool {
+		requests <- n
+		if len(requests) == 2 {
+			return false // the connection that served the first one breaks under the second
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	u := pool(ln.Addr().String(), 4)
+	if got, _ := attemptOn(u, long); got != whinknot.OK {
+		t.Fatalf("first outcome %v", got)
+	}
+	if got, _ := attemptOn(u, long); got != whinknot.Reset {
+		t.Errorf("second outcome %v, want a reset", got)
+	}
+	if a, b := <-requests, <-requests; a != 0 || b != 0 || len(requests) != 0 {
+		t.Errorf("requests on connections %d and %d and %d more, want both on the first", a, b, len(requests))
+	}
+}
+
+// An endpoint may close an idle connection at any time; a request written to it would count as a reset.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	ln := script(t, func(n int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		if n == 0 {
+			c.Close()
+			close(closed)
+		}
+		return n > 0
+	})
+	u := pool(ln.Addr().String(), 4)
+	attemptOn(u, long)
+	<-closed
+	idle := u.find(1).idle
+	if len(idle) != 1 {
+		t.Fatalf("%d idle connections, want 1", len(idle))
+	}
+	for stillOpen(idle[0].Conn) { // until the end of the stream has come over the loopback
+		time.Sleep(time.Millisecond)
+	}
+	if got, _ := attemptOn(u, long); got != whinknot.OK {
+		t.Errorf("outcome %v, want the request served on a new connection", got)
+	}
+	if u.open != 1 {
+		t.Errorf("%d connections counted, want 1", u.open)
+	}
+}
+
+// Once an attempt is called off its request has a final answer, and nothing may go out for it.
+func TestCalledOffBeforeWriting(t *testing.T) {
+	requests := make(chan struct{}, 1)
+	ln := script(t, func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false })
+	u := pool(ln.Addr().String(), 4)
+	c, err := u.connect(t.Context(), u.find(1), time.Now().Add(long))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAttempt()
+	a.callOff()
+	if got, _, _ := exchange(a, c, get(), time.Now().Add(long)); got != whinknot.Cancelled {
+		t.Errorf("outcome %v", got)
+	}
+	c.Close()
+	if len(requests) != 0 {
+		t.Error("the request went out")
+	}
+}
+
+// Calling an attempt off closes its connection, which is how an endpoint learns of it.
+func TestCalledOffWhileWaiting(t *testing.T) {
+	came, left := make(chan struct{}), make(chan error, 1)
+	ln := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		close(came)
+		_, err := c.Read(make([]byte, 1))
+		left <- err
+		return false
+	})
+	u := pool(ln.Addr().String(), 4)
+	a := newAttempt()
+	go func() { <-came; a.callOff() }()
+	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != whinknot.Cancelled {
+		t.Errorf("outcome %v", got)
+	}
+	select {
+	case <-left:
+	case <-time.After(long):
+		t.Error("the connection stayed open")
+	}
+}
+
+// At the descriptor limit idle connections give way, and only with none left does an attempt fail,
+// as one that never ran.
+func TestConnectionLimit(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 1)
+	serve := func(n int, c net.Conn, req *http.Request) bool {
+		if req.Header.Get("X-Request-Id") == "hold" {
+			held <- struct{}{}
+			<-hold
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	first, second := script(t, serve), script(t, serve)
+	u := pool(first.Addr().String(), 1)
+	u.list(2, second.Addr().String(), 0, whinknot.Ready)
+	attemptOn(u, long)
+	if len(u.find(1).idle) != 1 {
+		t.Fatal("no idle connection to begin with")
+	}
+	done := make(chan whinknot.Outcome)
+	go func() {
+		out := get()
+		out.header.Set("X-Request-Id", "hold")
+		got, _ := u.do(newAttempt(), u.find(2), out, time.Now().Add(long))
+		done <- got
+	}()
+	<-held
+	if got, _ := attemptOn(u, long); got != whinknot.ConnectFailed {
+		t.Errorf("outcome %v with no descriptor left", got)
+	}
+	close(hold)
+	if got := <-done; got != whinknot.OK || u.open != 1 {
+		t.Errorf("outcome %v with %d connections, want it served in place of the idle one", got, u.open)
+	}
+}
+
+// Connections to a server that drains, moved or started anew are of its former life.
+func TestIdleConnectionsEndWithTheServer(t *testing.T) {
+	ln := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	addr := ln.Addr().String()
+	for name, change := range map[string]func(u *upstream){
+		"draining":  func(u *upstream) { u.list(1, addr, 0, whinknot.Draining) },
+		"gone":      func(u *upstream) { u.list(1, addr, 0, whinknot.Gone) },
+		"restarted": func(u *upstream) { u.list(1, addr, 9, whinknot.Ready) },
+		"moved":     func(u *upstream) { u.list(1, "127.0.0.1:1", 0, whinknot.Ready) },
+		"closed":    func(u *upstream) { u.closeAll(1) },
+	} {
+		u := pool(addr, 4)
+		attemptOn(u, long)
+		if u.open != 1 {
+			t.Fatalf("%s: %d connections to begin with", name, u.open)
+		}
+		if change(u); u.open != 0 {
+			t.Errorf("%s: %d connections left", name, u.open)
+		}
+	}
+}
+
+// An idle connection must be gone well before the endpoint's own limit, also where no request comes by.
+func TestIdleConnectionsAreRetired(t *testing.T) {
+	ln := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	u := pool(ln.Addr().String(), 4)
+	u.idleLimit = 20 * time.Millisecond
+	attemptOn(u, long)
+	for end := time.Now().Add(long); ; time.Sleep(time.Millisecond) {
+		u.mu.Lock()
+		open := u.open
+		u.mu.Unlock()
+		if open == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d connections left", open)
+		}
+	}
+}
+
+// The time left is told to the endpoint, and the request goes on as it came.
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	seen := make(chan string, 1)
+	ln := script(t, func(_ int, c net.Conn, r *http.Request) bool {
+		seen <- fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Host, " ", r.Header["X-Request-Id"], r.Header["User-Agent"])
+		left := r.Header.Get("X-Deadline")
+		if !(left > "9.0" && left < "9.9999") {
+			t.Errorf("X-Deadline %q of ten seconds", left)
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return false
+	})
+	attemptOn(pool(ln.Addr().String(), 4), long-10*time.Millisecond)
+	if got, want := <-seen, "GET /browse/x?q=%20 backend.local [1] [Go-http-client/1.1]"; got != want {
+		t.Errorf("request %q, want %q", got, want)
+	}
+}
