--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -294,9 +294,7 @@
 		if oldest == nil {
 			return false
 		}
-		oldest.idle[0].Close()
-		oldest.idle = slices.Delete(oldest.idle, 0, 1)
-		u.open--
+		u.closeOldest(oldest)
 	}
 	u.open++
 	return true
@@ -326,27 +324,32 @@
 	}
 }
 
-// sweep closes the connections that have been idle for too long.
+// sweep closes the connections that have been idle for too long and comes back when the next one will have been.
 func (u *upstream) sweep() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.sweeping = false
+	now := time.Now()
+	next := now
 	for _, e := range u.endpoints {
-		e.idle = slices.DeleteFunc(e.idle, func(c *conn) bool {
-			old := time.Since(c.since) > u.idleLimit*7/8
-			if old {
-				c.Close()
-				u.open--
-			}
-			return old
-		})
-		u.sweeping = u.sweeping || len(e.idle) > 0
+		for len(e.idle) > 0 && now.Sub(e.idle[0].since) >= u.idleLimit {
+			u.closeOldest(e)
+		}
+		if len(e.idle) > 0 && (next == now || e.idle[0].since.Before(next)) {
+			next = e.idle[0].since
+		}
 	}
-	if u.sweeping {
-		time.AfterFunc(u.idleLimit/8, u.sweep)
+	if u.sweeping = next != now; u.sweeping {
+		time.AfterFunc(u.idleLimit-now.Sub(next), u.sweep)
 	}
 }
 
+// closeOldest closes the connection of an endpoint that has been idle longest.
+func (u *upstream) closeOldest(e *endpoint) {
+	e.idle[0].Close()
+	e.idle = slices.Delete(e.idle, 0, 1)
+	u.open--
+}
+
 // stillOpen looks, without waiting, whether the peer has closed an idle connection or sent what nobody asked for.
 func stillOpen(c net.Conn) bool {
 	raw, err := c.(*net.TCPConn).SyscallConn()
