Let quiet callers give way, and never answer a gone client with an empty 200

Seen by breaking the code under its tests: a handler that returns after its client has gone is answered 200 with no body by net/http. A client that only ended its sending could read that and take it for served, which would be a lost request. The handler now aborts, which closes the connection. Also, callers that hold connections without a request kept new ones waiting in the listener; near the limit the quietest gives way now, and a request has 5 s to come whole. Checked and ruled out: the limit on reading cannot end a waiting request, net/http lifts it once the body is in. Both tests fail without their mend.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -20,7 +20,8 @@
 
 const (
 	maxBody       = 64 << 10
-	readTime      = 20 * time.Second // for a request to come whole; longer than any answer takes
+	readTime      = 5 * time.Second // for a request to come whole
+	writeTime     = time.Minute     // from there to the end of its answer
 	callerIdle    = 2 * time.Minute
 	statusRefused = http.StatusServiceUnavailable
 	statusFailed  = http.StatusBadGateway
@@ -36,14 +37,16 @@
 	classes  map[string]uint16
 	tenants  map[string]uint16
 	server   *http.Server
-	callers  atomic.Int64 // connections open
-	crowded  int64        // with more than so many, answers close theirs
+	callers  callers
 	draining atomic.Bool
 }
 
 // newFront makes a front for at most so many callers' connections.
 func newFront(l *loop, set *whinknot.Settings, most int) *front {
-	f := &front{loop: l, set: set, classes: map[string]uint16{}, tenants: map[string]uint16{}, crowded: int64(most) * 3 / 4}
+	f := &front{
+		loop: l, set: set, classes: map[string]uint16{}, tenants: map[string]uint16{},
+		callers: callers{most: most, quiet: map[net.Conn]time.Time{}},
+	}
 	for i, c := range set.Classes {
 		f.classes[c.Name] = uint16(i)
 	}
@@ -51,22 +54,15 @@
 		f.tenants[t.Name] = uint16(i)
 	}
 	f.server = &http.Server{
-		Handler: f, ReadTimeout: readTime, WriteTimeout: readTime, IdleTimeout: callerIdle, MaxHeaderBytes: maxBody,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				f.callers.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				f.callers.Add(-1)
-			}
-		},
+		Handler: f, ReadTimeout: readTime, WriteTimeout: writeTime, IdleTimeout: callerIdle, MaxHeaderBytes: maxBody,
+		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		ConnState: f.callers.change,
 	}
 	return f
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() || f.callers.Load() > f.crowded {
+	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/-/ready" {
@@ -84,6 +80,7 @@
 		write(w, &a)
 	case <-r.Context().Done():
 		f.loop.post(func() { f.loop.gone(c) })
+		panic(http.ErrAbortHandler) // a plain return would be answered 200, with an empty body
 	}
 }
 
@@ -198,6 +195,52 @@
 // lastWrites is the time for the answers that are given at the very end.
 const lastWrites = 150 * time.Millisecond
 
+// callers counts callers' connections. Near the limit, those between requests give way, the one quiet
+// longest first: such a close loses no request, and callers that hold connections for nothing keep none out.
+type callers struct {
+	most  int
+	mu    sync.Mutex
+	open  int
+	quiet map[net.Conn]time.Time // since when no request was under way
+}
+
+// spareCallers is how many below the limit quiet connections start to give way.
+const spareCallers = 8
+
+// change hears from the server what a connection does.
+func (cs *callers) change(c net.Conn, state http.ConnState) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		cs.open++
+		if cs.open > cs.most-spareCallers {
+			cs.closeQuietest()
+		}
+		cs.quiet[c] = time.Now()
+	case http.StateIdle:
+		cs.quiet[c] = time.Now()
+	case http.StateActive:
+		delete(cs.quiet, c)
+	case http.StateClosed:
+		delete(cs.quiet, c)
+		cs.open--
+	}
+}
+
+func (cs *callers) closeQuietest() {
+	var quietest net.Conn
+	for c, since := range cs.quiet {
+		if quietest == nil || since.Before(cs.quiet[quietest]) {
+			quietest = c
+		}
+	}
+	if quietest != nil {
+		delete(cs.quiet, quietest)
+		quietest.Close()
+	}
+}
+
 // limited is a listener that accepts no more than so many connections at once.
 type limited struct {
 	net.Listener
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -362,6 +364,44 @@
 	second.Close()
 }
 
+// Callers that hold connections for nothing must not keep others out.
+func TestQuietCallersGiveWay(t *testing.T) {
+	cfg := config(t, script(t, echo).Addr().String())
+	cfg.Sockets = LeastSockets
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.front.server.ReadTimeout = time.Hour // which would end them too, but late
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Run(ctx)
+	for range 2 * s.callers {
+		dial(t, s)
+	}
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
+
+// A client that ends its sending has gone; what it can still read must be no answer, least of all the empty 200
+// that net/http gives for a handler that returns.
+func TestGoneClientIsNotServed(t *testing.T) {
+	came, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	s, _ := start(t, config(t, script(t, func(int, net.Conn, *http.Request) bool { close(came); <-release; return false }).Addr().String()))
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	<-came
+	c.Conn.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(long))
+	if text, err := io.ReadAll(c); len(text) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("answer %q, error %v", text, err)
+	}
+}
+
 // discover serves watches; each gets what f writes until it returns.
 func discover(t *testing.T, f func(since string, tell func(List), beat func())) string {
 	t.Helper()
