Answer 50 ms before the deadline; keep attempts in that come late to their first byte

The margin was 25 ms for two ways over the net and the wait for a core that 45 sidecars may share. Aims lie well before deadlines, so more costs nothing. And between the decision and the first byte lie a dial and perhaps a stall: past 0.6 of the drain grace the attempt stays in, as one that never ran.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -144,7 +144,7 @@
 	c = &call{
 		event: whinknot.Event{
 			Class: index, Tenant: tenant, Hint: hint / 1000,
-			Due: f.loop.clock(arrived) + 1000*wait - float64(margin.Milliseconds()),
+			Due: f.loop.clock(arrived) + 1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait),
 		},
 		out:   outgoing{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body},
 		reply: make(chan answer, 1),
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// margin is how long before its client gives up a request must be answered: it pays for the way there
-	// and back and for waiting for the core.
-	margin = 25 * time.Millisecond
+	// A request must be answered this long before its client gives up, at most: it pays for the way there and
+	// back and for waiting for the core. Answers as late as that are past the class's aim anyhow.
+	margin     = 50 * time.Millisecond
+	marginPart = 0.1 // and this share of the time that the client gives, at most
 	// backstop is how long after that the loop answers what the module has left unanswered.
 	backstop   = 10 * time.Millisecond
 	retryAfter = time.Second // told with a refusal of the loop's own
@@ -193,7 +194,11 @@
 
 // send starts an attempt; its goroutine posts the outcome.
 func (l *loop) send(c *call, server uint32, until float64) {
-	a, e, number, sent := newAttempt(), l.up.find(server), len(c.attempts), time.Now()
+	sent, begin := time.Now(), time.Time{}
+	if l.up.grace > 0 {
+		begin = sent.Add(l.up.grace)
+	}
+	a, e, number := newAttempt(begin), l.up.find(server), len(c.attempts)
 	c.attempts = append(c.attempts, a)
 	c.open++
 	go func() {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -51,7 +51,7 @@
 	s := &Sidecar{cfg: cfg, callers: int(callerPart * float64(free))}
 	set := &s.cfg.Site.Settings
 	var err error
-	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, free-s.callers)); err != nil {
+	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, set.Safety.DrainGrace, free-s.callers)); err != nil {
 		return nil, err
 	}
 	s.discovery = &discovery{
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -159,6 +160,31 @@
 	}
 }
 
+// The module must be told a due time that leaves room for the way back, and never one after the class's own.
+func TestDueTimes(t *testing.T) {
+	cfg := config(t)
+	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 0, 4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFront(l, &cfg.Site.Settings, 4)
+	for _, c := range []struct {
+		header string
+		want   float64 // ms from the arrival
+	}{{"2.000", 1950}, {"0.100", 90}, {"", 2450}, {"60", 2450}, {"0", 0}} {
+		r := httptest.NewRequest("GET", "/read/x", nil)
+		r.Header = http.Header{"X-Class": {"read"}, "X-Request-Id": {"1"}, "X-Deadline": {c.header}}
+		from := l.now()
+		got, _, complaint := f.parse(httptest.NewRecorder(), r)
+		if got == nil {
+			t.Fatalf("%q: %s", c.header, complaint)
+		}
+		if due := got.event.Due; due < from+c.want-0.01 || due > l.now()+c.want+0.01 {
+			t.Errorf("%q: due after %v ms, want %v", c.header, due-from, c.want)
+		}
+	}
+}
+
 // An unsafe request whose connection broke may have run: it is neither sent again nor refused.
 func TestUnsafeIsSentOnce(t *testing.T) {
 	requests := make(chan struct{}, 10)
@@ -241,7 +267,7 @@
 // The backstop refuses only what cannot have run, and answers once.
 func TestBackstopIsHonest(t *testing.T) {
 	cfg := config(t)
-	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 4))
+	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 0, 4))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -251,7 +277,7 @@
 	}{
 		"nothing sent": {&call{}, statusRefused},
 		"may have run": {&call{mayRun: true}, statusFailed},
-		"still out":    {&call{open: 1, attempts: []*attempt{newAttempt()}}, statusFailed},
+		"still out":    {&call{open: 1, attempts: []*attempt{newAttempt(time.Time{})}}, statusFailed},
 	} {
 		c.call.reply = make(chan answer, 1)
 		l.giveUp(c.call)
@@ -471,7 +497,7 @@
 // A whole list takes away what it does not name.
 func TestWholeListReplaces(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", "127.0.0.1:2")
-	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 4))
+	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 0, 4))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -25,6 +25,7 @@
 
 const (
 	idlePart    = 0.8 // an idle connection is retired after this share of the idle limit
+	gracePart   = 0.6 // an attempt whose first byte is not out after this share of the drain grace stays in
 	defaultIdle = 5 * time.Second
 	defaultDial = 250 * time.Millisecond
 )
@@ -63,7 +64,8 @@
 // upstream owns all connections to endpoints.
 type upstream struct {
 	dialTimeout, idleLimit time.Duration
-	most                   int // connections at once
+	most                   int           // connections at once
+	grace                  time.Duration // from the decision on an attempt to its first byte; 0 = any
 
 	mu        sync.Mutex
 	endpoints map[uint32]*endpoint
@@ -72,9 +74,9 @@
 }
 
 // newUpstream makes a pool of at most so many connections.
-func newUpstream(l whinknot.Limits, most int) *upstream {
+func newUpstream(l whinknot.Limits, drainGrace float64, most int) *upstream {
 	u := &upstream{
-		dialTimeout: defaultDial, idleLimit: defaultIdle, most: most,
+		dialTimeout: defaultDial, idleLimit: defaultIdle, most: most, grace: millis(gracePart * drainGrace),
 		endpoints: map[uint32]*endpoint{},
 	}
 	if l.ConnectTimeout > 0 {
@@ -137,12 +139,13 @@
 type attempt struct {
 	ctx    context.Context
 	cancel context.CancelFunc
+	begin  time.Time // latest time for its first byte; zero for any
 	mu     sync.Mutex
 	off    bool // called off
 }
 
-func newAttempt() *attempt {
-	a := &attempt{}
+func newAttempt(begin time.Time) *attempt {
+	a := &attempt{begin: begin}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
 }
@@ -200,6 +203,9 @@
 	if !a.claim() {
 		return whinknot.Cancelled, nil, false
 	}
+	if !a.begin.IsZero() && time.Now().After(a.begin) {
+		return whinknot.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
+	}
 	if n, err := c.Write(text.Bytes()); n < text.Len() {
 		return brokenOff(a, err, whinknot.ConnectFailed), nil, false
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -61,11 +61,11 @@
 
 // attemptOn carries out one attempt on the server 1 of u.
 func attemptOn(u *upstream, wait time.Duration) (whinknot.Outcome, *answer) {
-	return u.do(newAttempt(), u.find(1), get(), time.Now().Add(wait))
+	return u.do(newAttempt(time.Time{}), u.find(1), get(), time.Now().Add(wait))
 }
 
 func pool(addr string, most int) *upstream {
-	u := newUpstream(whinknot.Limits{}, most)
+	u := newUpstream(whinknot.Limits{}, 0, most)
 	u.list(1, addr, 0, whinknot.Ready)
 	return u
 }
@@ -179,7 +179,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := newAttempt()
+	a := newAttempt(time.Time{})
 	a.callOff()
 	if got, _, _ := exchange(a, c, get(), time.Now().Add(long)); got != whinknot.Cancelled {
 		t.Errorf("outcome %v", got)
@@ -200,7 +200,7 @@
 		return false
 	})
 	u := pool(ln.Addr().String(), 4)
-	a := newAttempt()
+	a := newAttempt(time.Time{})
 	go func() { <-came; a.callOff() }()
 	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != whinknot.Cancelled {
 		t.Errorf("outcome %v", got)
@@ -212,6 +212,24 @@
 	}
 }
 
+// Between the decision and the first byte the sidecar may be told that the endpoint drains, and a dial or a stall
+// may outlast the grace: an attempt that is late stays in, and never ran.
+func TestLateAttemptStaysIn(t *testing.T) {
+	requests := make(chan struct{}, 1)
+	ln := script(t, func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false })
+	u := pool(ln.Addr().String(), 4)
+	a := newAttempt(time.Now().Add(-time.Millisecond))
+	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != whinknot.ConnectFailed {
+		t.Errorf("outcome %v", got)
+	}
+	if len(u.find(1).idle) != 1 {
+		t.Error("the connection, unused, was not kept")
+	}
+	if len(requests) != 0 {
+		t.Error("the request went out")
+	}
+}
+
 // At the descriptor limit idle connections give way, and only with none left does an attempt fail,
 // as one that never ran.
 func TestConnectionLimit(t *testing.T) {
@@ -235,7 +253,7 @@
 	go func() {
 		out := get()
 		out.header.Set("X-Request-Id", "hold")
-		got, _ := u.do(newAttempt(), u.find(2), out, time.Now().Add(long))
+		got, _ := u.do(newAttempt(time.Time{}), u.find(2), out, time.Now().Add(long))
 		done <- got
 	}()
 	<-held
