SIGHUP re-reads the configuration and moves discovery

Cause: nothing took SIGHUP, whose default ends a Go program (exit 129; run() in main.go). Now the file is read again and the watch begun at the new address; the old watch is listened to until the new one is answered, and only the latest watch's end is told to the module. A file that cannot be used is one line of log. Tests: a move leaves no gap and reports no failure; SIGHUP with a bad file, twice, and during a drain.

--- a/cmd/milletmast/main.go
+++ b/cmd/milletmast/main.go
@@ -27,6 +27,8 @@
 }
 
 func run() error {
+	hangups := make(chan os.Signal, 1) // one waiting is enough: it reads the file as it is then
+	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := load(os.Getenv)
 	if err != nil {
 		return err
@@ -41,5 +43,21 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hangups {
+			reload(s)
+		}
+	}()
 	return s.Run(ctx)
 }
+
+// reload reads the configuration anew for where discovery is now; the rest counts from the next start on.
+// A file that cannot be used changes nothing.
+func reload(s *sidecar.Sidecar) {
+	cfg, err := load(os.Getenv)
+	if err != nil {
+		slog.Error("configuration kept", "err", err)
+		return
+	}
+	s.Move(cfg.Discovery)
+}
--- a/cmd/milletmast/main_test.go
+++ b/cmd/milletmast/main_test.go
@@ -22,9 +22,9 @@
 	return bin
 }
 
-// The program serves where it is told to, and SIGTERM is a clean exit, not a crash.
-func TestProgram(t *testing.T) {
-	getenv := env(t, strings.Replace(good, "127.0.0.1:8443", "127.0.0.1:0", 1))
+// program runs the program on a configuration until the test ends. It returns the lines of its log.
+func program(t *testing.T, getenv func(string) string) (*exec.Cmd, *bufio.Scanner) {
+	t.Helper()
 	cmd := exec.Command(build(t))
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+getenv("RELAY_CONFIG"))
 	stderr, err := cmd.StderrPipe()
@@ -34,14 +34,26 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Process.Kill()
-	addr := ""
-	lines := bufio.NewScanner(stderr)
-	for addr == "" && lines.Scan() {
-		if m := regexp.MustCompile(`serving.* listen=(\S+)`).FindStringSubmatch(lines.Text()); m != nil {
-			addr = m[1]
+	t.Cleanup(func() { cmd.Process.Kill() })
+	return cmd, bufio.NewScanner(stderr)
+}
+
+// logged reads the log up to a line that matches and returns what the pattern's group holds.
+func logged(t *testing.T, lines *bufio.Scanner, pattern string) string {
+	t.Helper()
+	for lines.Scan() {
+		if m := regexp.MustCompile(pattern).FindStringSubmatch(lines.Text()); m != nil {
+			return m[1]
 		}
 	}
+	t.Fatalf("the log ended without %q", pattern)
+	return ""
+}
+
+// The program serves where it is told to, and SIGTERM is a clean exit, not a crash.
+func TestProgram(t *testing.T) {
+	cmd, lines := program(t, env(t, strings.Replace(good, "127.0.0.1:8443", "127.0.0.1:0", 1)))
+	addr := logged(t, lines, `serving.* listen=(\S+)`)
 	res, err := http.Get("http://" + addr + "/-/ready")
 	if err != nil || res.StatusCode != http.StatusOK {
 		t.Fatalf("ready: %v, %v", res, err)
@@ -56,6 +68,35 @@
 	}
 }
 
+// SIGHUP, which ends a program that does not handle it, moves discovery to where the file says now. A file that
+// cannot be used is told in one line and changes nothing. It is legal during a drain as well.
+func TestHangupMovesDiscovery(t *testing.T) {
+	getenv := env(t, strings.Replace(good, "127.0.0.1:8443", "127.0.0.1:0", 1))
+	cmd, lines := program(t, getenv)
+	logged(t, lines, `(serving)`)
+	for _, c := range []struct{ text, signs string }{
+		{"{", `(configuration kept)`},
+		{strings.Replace(good, "127.0.0.1:8500", "127.0.0.1:8501", 1), `discovery moves.* addr=(127.0.0.1:8501)`},
+		{strings.Replace(good, "127.0.0.1:8500", "127.0.0.1:8502", 1), `discovery moves.* addr=(127.0.0.1:8502)`},
+	} {
+		if err := os.WriteFile(getenv("RELAY_CONFIG"), []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(c.text, "8502") {
+			cmd.Process.Signal(syscall.SIGTERM)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		logged(t, lines, c.signs)
+	}
+	for lines.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 // What an operator got wrong is told in one line, and the platform sees that it did not start.
 func TestProgramNamesBadConfiguration(t *testing.T) {
 	getenv := env(t, strings.Replace(good, "8c1f30d27a5be964", "often", 1))
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"whinknot"
@@ -120,22 +121,45 @@
 
 // discovery holds the watch on the list. Where the list is asked for, the module says when to watch;
 // where it is pushed, the watch is on an agent nearby and is taken up again by itself.
+// A newer watch takes over from an older one as soon as it is answered, so that a move leaves no gap.
 type discovery struct {
-	addr    string
-	rev     int64         // version of the list held
 	silence time.Duration // after which a watch is dead
 	tell    func(List)    // a list or a change came
-	failed  func()        // a call failed or a watch broke
+	failed  func()        // the latest call failed or its watch broke
+
+	mu    sync.Mutex
+	addr  string
+	rev   int64  // version of the list held
+	begun int    // number of the latest watch
+	heard int    // number of the one that is listened to
+	end   func() // ends that one
 }
 
-// follow keeps a pushed list watched until ctx ends.
+// move has the next watches made at another address and tells whether it is one.
+func (d *discovery) move(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	moved := d.addr != addr
+	d.addr = addr
+	return moved
+}
+
+// at returns the address and the version of the list held.
+func (d *discovery) at() (string, int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addr, d.rev
+}
+
+// follow keeps a pushed list watched until ctx ends or discovery moves.
 func (d *discovery) follow(ctx context.Context) {
 	wait := backoffFirst
-	for ctx.Err() == nil {
-		rev := d.rev
+	addr, rev := d.at()
+	for here := addr; ctx.Err() == nil && here == addr; {
 		d.once(ctx)
-		if d.rev != rev {
-			wait = backoffFirst
+		now := rev
+		if here, now = d.at(); now != rev {
+			wait, rev = backoffFirst, now
 		}
 		select {
 		case <-time.After(wait/2 + rand.N(wait)):
@@ -145,23 +169,51 @@
 	}
 }
 
-// once watches until the watch ends, which it reports.
+// once watches until the watch ends, and reports that unless a later watch has been begun meanwhile.
 func (d *discovery) once(ctx context.Context) {
-	err := d.watch(ctx)
-	slog.Info("watch ended", "rev", d.rev, "err", err)
-	d.failed()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.mu.Lock()
+	d.begun++
+	number, addr, rev := d.begun, d.addr, d.rev
+	d.mu.Unlock()
+	err := d.watch(ctx, addr, rev, func(f func()) error { return d.hear(number, cancel, f) })
+	d.mu.Lock()
+	latest := number == d.begun
+	d.mu.Unlock()
+	slog.Info("watch ended", "addr", addr, "latest", latest, "err", err)
+	if latest {
+		d.failed()
+	}
 }
 
-// watch makes one call and passes on what comes; it returns when the watch is over.
-func (d *discovery) watch(ctx context.Context) error {
+var errOvertaken = errors.New("a later watch has been answered")
+
+// hear runs f on behalf of a watch, unless a later one has been heard; the one heard before ends.
+func (d *discovery) hear(number int, cancel func(), f func()) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if number < d.heard {
+		return errOvertaken
+	}
+	if number > d.heard && d.end != nil {
+		d.end()
+	}
+	d.heard, d.end = number, cancel
+	f()
+	return nil
+}
+
+// watch makes one call and passes on what comes, through hear; it returns when the watch is over.
+func (d *discovery) watch(ctx context.Context, addr string, rev int64, hear func(func()) error) error {
 	dialer := net.Dialer{Timeout: dialList}
-	c, err := dialer.DialContext(ctx, "tcp", d.addr)
+	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	uri := "http://" + d.addr + "/api/targets?follow=1&since=" + strconv.FormatInt(d.rev, 10)
+	uri := "http://" + addr + "/api/targets?follow=1&since=" + strconv.FormatInt(rev, 10)
 	req, err := http.NewRequest(http.MethodGet, uri, nil)
 	if err != nil {
 		return err
@@ -177,6 +229,9 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.New(res.Status)
 	}
+	if err := hear(func() {}); err != nil {
+		return err
+	}
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(make([]byte, 0, 1<<14), maxLine)
 	for lines.Scan() {
@@ -189,8 +244,9 @@
 		if err != nil {
 			return fmt.Errorf("list: %w", err)
 		}
-		d.rev = l.Rev
-		d.tell(l)
+		if err := hear(func() { d.rev = l.Rev; d.tell(l) }); err != nil {
+			return err
+		}
 	}
 	return cmp.Or(lines.Err(), io.EOF)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -77,10 +77,10 @@
 	watching, stop := context.WithCancel(context.Background()) // drains count to the end
 	defer stop()
 	defer close(s.loop.ended)
-	if s.cfg.Site.Settings.ListOnRequest {
-		s.loop.watch = func() { go s.discovery.once(watching) }
-	} else {
-		go s.discovery.follow(watching)
+	s.loop.watch = func() { go s.discovery.once(watching) }
+	if !s.cfg.Site.Settings.ListOnRequest {
+		s.loop.watch = func() { go s.discovery.follow(watching) }
+		s.loop.watch()
 	}
 	go s.loop.run()
 	s.loop.post(func() { s.loop.list(s.cfg.Known, whinknot.ListCached) })
@@ -97,6 +97,16 @@
 	return s.front.drain(s.listener, s.last())
 }
 
+// Move has discovery watched at another address from now on; the list that is held stays in use.
+func (s *Sidecar) Move(addr string) {
+	s.loop.post(func() {
+		if s.discovery.move(addr) {
+			slog.Info("discovery moves", "addr", addr)
+			s.loop.watch()
+		}
+	})
+}
+
 // last is the time from SIGTERM at which what is left is given up, so as to be answered before SIGKILL.
 func (s *Sidecar) last() time.Duration {
 	longest := 0.0
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -523,6 +524,64 @@
 	}
 }
 
+// When discovery moves, the old watch is listened to until the new one is answered, then ends, and its end is
+// no failure that the module should hear of: the list has no gap. A further move before that overtakes the first.
+func TestMoveLeavesNoGap(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	told, oldEnded := make(chan int64, 10), make(chan struct{})
+	var failures atomic.Int32
+	next := make(chan int64)
+	d := &discovery{silence: long, rev: 1, tell: func(l List) { told <- l.Rev }, failed: func() { failures.Add(1) }}
+	old := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		go func() {
+			for rev := range next {
+				fmt.Fprintf(c, "{\"rev\":%d}\n", rev)
+			}
+		}()
+		c.Read(make([]byte, 1))
+		close(oldEnded)
+		return false
+	}).Addr().String()
+	silent := listen(t).Addr().String() // accepts and never answers
+	d.addr = old
+	hears := func(rev int64) {
+		t.Helper()
+		if got := <-told; got != rev {
+			t.Fatalf("version %d, want %d", got, rev)
+		}
+	}
+	go d.once(t.Context())
+	next <- 2
+	hears(2)
+	if d.move(old) || !d.move(silent) {
+		t.Error("only another address is a move")
+	}
+	go d.once(t.Context())
+	for begun := 0; begun < 2; { // so that the watches begin in the order of the moves
+		d.mu.Lock()
+		begun = d.begun
+		d.mu.Unlock()
+	}
+	next <- 3
+	hears(3)
+	d.move(discover(t, func(since string, tell func(List), beat func()) {
+		if since != "3" {
+			t.Errorf("a watch since %s, want 3", since)
+		}
+		tell(List{Rev: 4})
+		<-done
+	}))
+	go d.once(t.Context())
+	hears(4)
+	<-oldEnded
+	close(next)
+	if failures.Load() > 0 {
+		t.Error("a failure was reported")
+	}
+}
+
 // Where the list is asked for, the module decides when to ask again, so it must hear of each failure.
 func TestFailedCallIsReported(t *testing.T) {
 	failed := make(chan struct{}, 1)
