Read messages strictly with our own reader, and give callers a front of their own

An ended call stayed in loop.agenda, body and all, until its time. Good answers with more behind were all whole by their length (52 bytes of noise or a second copy), so framing tells an answer from a spoilt one; no single length that cuts a body short was seen. X-Load is never named by these settings: it stays unread.

Now message.go reads heads and bodies with bounds (maxHead 16 KiB, maxBody 64 KiB, 16 interim answers), front.go takes requests, callers.go holds connections: quiet ones end after 2.2 s and give way near the limit, errors close and linger for 256 KiB or 0.5 s. One goroutine a caller; the answer wakes it.

--- /dev/null
+++ b/internal/sidecar/callers.go
@@ -0,0 +1,147 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"container/list"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	writeTime    = 3 * time.Second // for an answer to be taken
+	lingerTime   = 500 * time.Millisecond
+	lingerBytes  = 256 << 10 // read and dropped of a caller that still sends, for an error to reach it
+	acceptPause  = 5 * time.Millisecond
+	drainPoll    = 5 * time.Millisecond
+	spareCallers = 8 // so many below the limit, quiet connections start to give way
+)
+
+// caller is one connection of a caller.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+	quiet  *list.Element // nil while a request is open
+}
+
+// callers holds the callers' connections. Near the limit those without an open request give way, the one quiet
+// longest first: callers that hold connections for nothing, or send slowly, keep none out.
+type callers struct {
+	most  int
+	mu    sync.Mutex
+	open  int
+	quiet *list.List // those without an open request, the one quiet longest first
+}
+
+func newCallers(most int) *callers { return &callers{most: most, quiet: list.New()} }
+
+// serve accepts connections until the listener is closed; each is served by talk.
+func (cs *callers) serve(ln net.Listener, talk func(*caller)) error {
+	for {
+		conn, err := ln.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil: // no descriptor is left, or the caller has gone already
+			time.Sleep(acceptPause)
+			continue
+		}
+		if c := cs.add(conn); c != nil {
+			go func() {
+				defer cs.remove(c)
+				talk(c)
+			}()
+		}
+	}
+}
+
+// add takes a connection in; with no room for it, it is closed, which its caller can tell from a lost request.
+func (cs *callers) add(conn net.Conn) *caller {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.open > cs.most-spareCallers && cs.quiet.Len() > 0 {
+		cs.quiet.Remove(cs.quiet.Front()).(*caller).Close()
+		cs.mu.Unlock()
+		runtime.Gosched() // its descriptor is free once its goroutine has run
+		cs.mu.Lock()
+	}
+	if cs.open >= cs.most {
+		conn.Close()
+		return nil
+	}
+	c := &caller{Conn: conn, reader: bufio.NewReader(conn)}
+	c.quiet = cs.quiet.PushBack(c)
+	cs.open++
+	return c
+}
+
+func (cs *callers) remove(c *caller) {
+	c.Close()
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.open--
+	cs.quiet.Remove(c.quiet)
+}
+
+// begins marks a connection as one with an open request; ends, as one without.
+func (cs *callers) begins(c *caller) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.quiet.Remove(c.quiet)
+}
+
+func (cs *callers) ends(c *caller) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	c.quiet = cs.quiet.PushBack(c)
+}
+
+// drain closes what has no open request, until nothing is left or the time is up.
+func (cs *callers) drain(until time.Time) {
+	for left := 1; left > 0 && time.Now().Before(until); {
+		cs.mu.Lock()
+		for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
+			cs.quiet.Remove(e).(*caller).Close()
+		}
+		left = cs.open
+		cs.mu.Unlock()
+		time.Sleep(drainPoll)
+	}
+}
+
+// answer writes a final answer. The length goes first, so that a body that breaks off shows.
+func (c *caller) answer(a *answer, last bool) error {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), len(a.body))
+	if a.retryAfter > 0 {
+		fmt.Fprintf(&head, "Retry-After: %s\r\n", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
+	}
+	if last {
+		head.WriteString("Connection: close\r\n")
+	}
+	a.header.Write(&head)
+	head.WriteString("\r\n")
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := (&net.Buffers{head.Bytes(), a.body}).WriteTo(c.Conn)
+	return err
+}
+
+// turnAway answers what cannot be taken and ends the connection: nothing behind it can be read for sure. What its
+// caller still sends is dropped for a while, as a close with bytes unread could overtake the answer.
+func (c *caller) turnAway(status int, complaint string) {
+	if c.answer(&answer{status: status, body: []byte(complaint + "\n")}, true) != nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingerTime))
+	io.CopyN(io.Discard, c.reader, lingerBytes)
+}
--- /dev/null
+++ b/internal/sidecar/front_test.go
@@ -0,0 +1,242 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// serving is a sidecar before one endpoint that counts what reaches it.
+func serving(t *testing.T, change func(*Sidecar)) (*Sidecar, chan string) {
+	t.Helper()
+	came := make(chan string, 1000)
+	s, err := New(config(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
+		came <- r.Header.Get("X-Request-Id")
+		return echo(n, c, r)
+	}).Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(s)
+	}
+	go s.Run(t.Context())
+	return s, came
+}
+
+// ends waits for the sidecar to close a connection and returns all that it wrote.
+func (c *client) ends(t *testing.T) string {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(long))
+	text, err := io.ReadAll(c.reader)
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Fatalf("the connection stays open, after %q", text)
+	}
+	return string(text)
+}
+
+// What can be read in two ways, or not at all, is answered and goes nowhere, and its connection ends: behind it, a
+// request may hide that no client sent.
+func TestWhatCannotBeReadEndsTheConnection(t *testing.T) {
+	s, came := serving(t, nil)
+	hidden := "GET /read/x HTTP/1.1\r\nHost: b\r\nX-Class: read\r\nX-Request-Id: hidden\r\n\r\n"
+	pay := "POST /pay/x HTTP/1.1\r\nHost: b\r\nX-Class: pay\r\nX-Request-Id: 1\r\n"
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"length and chunks":   {pay + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 400},
+		"chunks and length":   {pay + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + hidden, 400},
+		"space before colon":  {pay + "Content-Length : 5\r\n\r\n" + hidden, 400},
+		"two codings":         {pay + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden, 400},
+		"huge length":         {pay + "Content-Length: 99999999999999999999\r\n\r\n" + hidden, 400},
+		"long length":         {pay + "Content-Length: 60000000\r\n\r\n" + hidden, 413},
+		"chunks that are not": {pay + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + hidden, 400},
+		"noise":               {"\x16\x03\x01\x00\xa5\r\n\r\n" + hidden, 400},
+		"head without end":    {pay + strings.Repeat("X-Pad: p\r\n", maxHead/10+1), 413},
+		"another protocol":    {"GET /read/x HTTP/2.0\r\nHost: b\r\nX-Class: read\r\nX-Request-Id: 1\r\n\r\n" + hidden, 400},
+		"no class":            {"GET /nothing HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\n\r\n" + hidden, 404},
+	} {
+		k := dial(t, s)
+		io.WriteString(k, c.text)
+		if got := k.ends(t); !strings.HasPrefix(got, fmt.Sprint("HTTP/1.1 ", c.want)) || strings.Count(got, "HTTP/1.1") != 1 {
+			t.Errorf("%s: answer %q, want one of status %d", name, got, c.want)
+		}
+	}
+	if len(came) > 0 {
+		t.Errorf("request %q reached the endpoint", <-came)
+	}
+}
+
+// An error must reach a caller that goes on sending, and its sending must end.
+func TestErrorReachesASendingCaller(t *testing.T) {
+	s, _ := serving(t, nil)
+	c := dial(t, s)
+	go func() {
+		fmt.Fprint(c, "POST /pay/x HTTP/1.1\r\nHost: b\r\nX-Class: pay\r\nX-Request-Id: 1\r\nContent-Length: 60000000\r\n\r\n")
+		for block := make([]byte, 1<<20); ; {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}()
+	c.SetReadDeadline(time.Now().Add(long))
+	if res, err := http.ReadResponse(c.reader, nil); err != nil || res.StatusCode != 413 {
+		t.Errorf("answer %v, error %v", res, err)
+	}
+}
+
+// Callers that say nothing, send half a request, or keep a connection for good must not hold it.
+func TestQuietConnectionsEnd(t *testing.T) {
+	s, came := serving(t, func(s *Sidecar) { s.front.quiet = 20 * time.Millisecond })
+	for name, text := range map[string]string{
+		"silent":    "",
+		"half head": "POST /pay/x HTTP/1.1\r\nHost:",
+		"half body": "POST /pay/x HTTP/1.1\r\nHost: b\r\nX-Class: pay\r\nX-Request-Id: 1\r\nContent-Length: 9\r\n\r\nhalf",
+	} {
+		c := dial(t, s)
+		io.WriteString(c, text)
+		if got := c.ends(t); got != "" {
+			t.Errorf("%s: answer %q", name, got)
+		}
+	}
+	if len(came) > 0 {
+		t.Error("half a request went on")
+	}
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	c.ends(t)
+	s.front.callers.mu.Lock()
+	defer s.front.callers.mu.Unlock()
+	if n := s.front.callers.quiet.Len(); n > s.front.callers.open {
+		t.Errorf("%d connections are held quiet of %d open", n, s.front.callers.open)
+	}
+}
+
+// An id tells a request from all others: a second one that takes it while it is open must not get in its way.
+func TestIDOfAnOpenRequest(t *testing.T) {
+	release, came := make(chan struct{}), make(chan struct{}, 10)
+	s := start(t, config(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
+		came <- struct{}{}
+		<-release
+		return echo(n, c, r)
+	}).Addr().String()))
+	first, second := dial(t, s), dial(t, s)
+	first.send("GET", "read", "")
+	<-came
+	second.send("GET", "read", "")
+	if res, _ := second.answer(t); res.StatusCode != http.StatusConflict || !res.Close {
+		t.Errorf("status %d, close %v", res.StatusCode, res.Close)
+	}
+	close(release)
+	if res, _ := first.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d for the first", res.StatusCode)
+	}
+	first.send("GET", "read", "") // and the id is free again
+	if res, _ := first.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d after it", res.StatusCode)
+	}
+}
+
+// What has ended is not kept until its time would have been up: a long day would hold every body for seconds.
+func TestEndedCallsAreForgotten(t *testing.T) {
+	s, _ := serving(t, nil)
+	c := dial(t, s)
+	for range 20 {
+		c.send("POST", "pay", "body")
+		c.answer(t)
+	}
+	for left, end := 1, time.Now().Add(long); left > 0; {
+		s.loop.ask(func() {
+			left = len(s.loop.calls) + len(s.loop.ids)
+			for _, d := range s.loop.agenda {
+				if d.call != nil {
+					left++
+				}
+			}
+		})
+		if time.Now().After(end) {
+			t.Fatalf("%d things kept", left)
+		}
+	}
+}
+
+// A caller that waits for leave to send its body gets it.
+func TestExpectContinue(t *testing.T) {
+	s, _ := serving(t, nil)
+	c := dial(t, s)
+	fmt.Fprint(c, "POST /pay/x HTTP/1.1\r\nHost: b\r\nX-Class: pay\r\nX-Request-Id: 1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	c.SetReadDeadline(time.Now().Add(long))
+	if line, _ := c.reader.ReadString('\n'); !strings.HasPrefix(line, "HTTP/1.1 100") {
+		t.Fatalf("%q", line)
+	}
+	c.reader.ReadString('\n')
+	io.WriteString(c, "hi")
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
+
+// Whatever a head holds that we take, net/http reads in the same way: nothing hides in it.
+func FuzzReadMessage(f *testing.F) {
+	for _, text := range []string{
+		"GET /a HTTP/1.1\r\nHost: b\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "A / HTTP/1.1\nB: c\n d\n\n",
+		"A / HTTP/1.1\r\nB : c\r\n\r\n", "\r\n\r\n", "A\r\n:\r\n\r\n", "A / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := bufio.NewReader(strings.NewReader(string(text)))
+		m, err := readMessage(r)
+		if err != nil || !strings.HasSuffix(m.first, " HTTP/1.1") || !strings.HasPrefix(m.first, "POST / ") {
+			return
+		}
+		if m.length == untold {
+			m.length = 0
+		}
+		body, err := readBody(r, m.length)
+		if len(body) > maxBody+1 {
+			t.Errorf("body of %d bytes", len(body))
+		}
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(text))))
+		if err != nil {
+			return // stricter still
+		}
+		want, err := io.ReadAll(req.Body)
+		if err != nil || string(want) != string(body) {
+			t.Errorf("body %q, net/http reads %q, %v", body, want, err)
+		}
+	})
+}
+
+// Nothing that an endpoint can write may make its answer larger than it may be, or be taken for one that tells no end.
+func FuzzReadAnswer(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 103 E\r\n\r\nHTTP/1.1 204 N\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "HTTP/1.1 2x0\r\n\r\n", "ICY 200 OK\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		status, m, body, err := readAnswer(bufio.NewReader(strings.NewReader(string(text))))
+		if err != nil {
+			return
+		}
+		if len(body) > maxBody || status < 200 || status > 999 || m.length == untold && len(body) > 0 {
+			t.Errorf("status %d, %d bytes, head %v", status, len(body), m)
+		}
+	})
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"log/slog"
 	"math"
+	"net/http"
 	"time"
 
 	"whinknot"
@@ -22,32 +23,47 @@
 // call is one request that the sidecar has taken. The loop owns it.
 type call struct {
 	event    whinknot.Event // as the module hears of it
+	id       string         // its client's
+	wait     float64        // ms from its arrival in which it must be answered
 	out      outgoing
-	reply    chan answer // takes the one final answer
+	reply    func(answer) // takes the one final answer
+	backstop *due
 	ended    bool
 	mayRun   bool // an attempt that is over may have run
 	open     int  // attempts out
 	attempts []*attempt
 }
 
+// due tells the call when it arrived.
+func (c *call) due(arrived float64) { c.event.Due = arrived + c.wait }
+
 // due is one thing to do at a time: a timer of the module's, or the backstop of a call.
 type due struct {
 	at    float64
 	token uint64
 	call  *call // nil for a timer
+	place int   // in the agenda; -1 once it is out
 }
 
 // agenda is a heap of them, the next one first.
-type agenda []due
+type agenda []*due
 
 func (a agenda) Len() int           { return len(a) }
 func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(due)) }
+func (a agenda) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].place, a[j].place = i, j
+}
+func (a *agenda) Push(x any) {
+	d := x.(*due)
+	d.place = len(*a)
+	*a = append(*a, d)
+}
 func (a *agenda) Pop() any {
 	old := *a
 	last := old[len(old)-1]
-	old[len(old)-1] = due{}
+	last.place = -1
+	old[len(old)-1] = nil
 	*a = old[:len(old)-1]
 	return last
 }
@@ -64,6 +80,7 @@
 	up        *upstream
 	watch     func() // asks for the list to be watched
 	calls     map[uint32]*call
+	ids       map[string]bool // of their clients
 	lastID    uint32
 	agenda    agenda
 	timer     *time.Timer
@@ -78,7 +95,7 @@
 	l := &loop{
 		start: now, startMS: float64(now.UnixMicro()) / 1000,
 		mail: make(chan func(), 256), ended: make(chan struct{}), up: up, watch: func() {},
-		calls: map[uint32]*call{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
+		calls: map[uint32]*call{}, ids: map[string]bool{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
 	}
 	set := cfg.Site.Settings
@@ -140,7 +157,7 @@
 // expire does what is due.
 func (l *loop) expire() {
 	for len(l.agenda) > 0 && l.agenda[0].at <= l.now() {
-		d := heap.Pop(&l.agenda).(due)
+		d := heap.Pop(&l.agenda).(*due)
 		if d.call == nil {
 			l.handle(&whinknot.Event{Kind: whinknot.EvTimer, Token: d.token})
 		} else {
@@ -173,7 +190,7 @@
 			c.attempts[a.Attempt].callOff()
 		}
 	case whinknot.ActTimer:
-		heap.Push(&l.agenda, due{at: l.now() + a.After, token: a.Token})
+		heap.Push(&l.agenda, &due{at: l.now() + a.After, token: a.Token})
 	case whinknot.ActWatch:
 		l.watch()
 	case whinknot.ActClose:
@@ -185,10 +202,16 @@
 
 // take begins a request that has come whole.
 func (l *loop) take(c *call) {
+	if l.ids[c.id] {
+		c.reply(answer{status: http.StatusConflict, body: []byte("a request with this X-Request-Id is open\n")})
+		return
+	}
+	l.ids[c.id] = true
 	l.lastID++
 	c.event.Kind, c.event.Request = whinknot.EvRequest, l.lastID
 	l.calls[l.lastID] = c
-	heap.Push(&l.agenda, due{at: c.event.Due + float64(backstop.Milliseconds()), call: c})
+	c.backstop = &due{at: c.event.Due + float64(backstop.Milliseconds()), call: c}
+	heap.Push(&l.agenda, c.backstop)
 	l.handle(&c.event)
 }
 
@@ -231,14 +254,19 @@
 		return
 	}
 	c.ended = true
-	c.reply <- a
+	c.reply(a)
 	l.release(c)
 }
 
-// release forgets a call once nothing more can be heard of it.
+// release forgets a call once nothing more can be heard of it. Its body must not stay in the agenda till its time.
 func (l *loop) release(c *call) {
-	if c.ended && c.open == 0 {
-		delete(l.calls, c.event.Request)
+	if !c.ended || c.open > 0 {
+		return
+	}
+	delete(l.calls, c.event.Request)
+	delete(l.ids, c.id)
+	if c.backstop != nil && c.backstop.place >= 0 {
+		heap.Remove(&l.agenda, c.backstop.place)
 	}
 }
 
--- /dev/null
+++ b/internal/sidecar/message.go
@@ -0,0 +1,203 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Messages are read here and not by net/http, which believes more than a peer should be believed: it drops a
+// Content-Length beside a Transfer-Encoding without a trace, so that a request can hide in another's body, reads an
+// answer's head of any size, and takes an interim answer for the final one.
+
+const (
+	maxHead    = 16 << 10 // bytes of a first line and the headers; ten times what callers and endpoints send
+	maxBody    = 64 << 10 // bytes of a body, by the protocol
+	maxInterim = 16       // interim answers before the final one
+	firstPart  = 4 << 10  // room for a body to begin with: what is announced but never comes costs no more
+)
+
+var (
+	errHead    = errors.New("the head cannot be read")
+	errLength  = errors.New("the length cannot be read")
+	errTooLong = errors.New("the message is over the limit")
+)
+
+// How long a body is, where that is no number.
+const (
+	chunked = -1
+	untold  = -2
+)
+
+// message is the head of a request or an answer.
+type message struct {
+	first  string // request line or status line
+	header http.Header
+	length int64 // of the body, or chunked or untold
+}
+
+// readMessage reads a head and checks its form, without reading on into the body.
+func readMessage(r *bufio.Reader) (message, error) {
+	text, err := readLines(r)
+	if err != nil {
+		return message{}, err
+	}
+	lines := textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(text), len(text)))
+	first, err := lines.ReadLine()
+	if err != nil {
+		return message{}, errHead
+	}
+	header, err := lines.ReadMIMEHeader()
+	if err != nil {
+		return message{}, errHead
+	}
+	for name, values := range header {
+		if strings.ContainsRune(name, ' ') || slices.ContainsFunc(values, hasControl) {
+			return message{}, errHead
+		}
+	}
+	m := message{first: first, header: http.Header(header)}
+	m.length, err = bodyLength(m.header)
+	return m, err
+}
+
+// readLines reads up to and with an empty line.
+func readLines(r *bufio.Reader) ([]byte, error) {
+	var text []byte
+	for begin := 0; ; {
+		part, err := r.ReadSlice('\n')
+		if len(text)+len(part) > maxHead {
+			return nil, errTooLong
+		}
+		text = append(text, part...)
+		switch line := text[begin:]; {
+		case err == bufio.ErrBufferFull:
+			continue
+		case err != nil:
+			return nil, err
+		case string(line) == "\r\n" || string(line) == "\n":
+			return text, nil
+		}
+		begin = len(text)
+	}
+}
+
+func hasControl(s string) bool {
+	return strings.ContainsFunc(s, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
+}
+
+// bodyLength is what the headers say of the body's length. What can be read in two ways is an error.
+func bodyLength(h http.Header) (int64, error) {
+	coding, length := h["Transfer-Encoding"], h["Content-Length"]
+	switch {
+	case len(coding) == 0 && len(length) == 0:
+		return untold, nil
+	case len(coding) == 1 && len(length) == 0 && strings.EqualFold(coding[0], "chunked"):
+		return chunked, nil
+	case len(coding) > 0 || len(length) > 1:
+		return 0, errLength
+	}
+	n, err := strconv.ParseUint(length[0], 10, 63)
+	if err != nil {
+		return 0, errLength
+	}
+	return int64(n), nil
+}
+
+// readBody reads a body whole. One that is announced to be too long is not begun.
+func readBody(r *bufio.Reader, length int64) ([]byte, error) {
+	if length > maxBody {
+		return nil, errTooLong
+	}
+	if length == chunked {
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), maxBody+1))
+		if err == nil && len(body) > maxBody {
+			err = errTooLong
+		}
+		if err == nil {
+			_, err = readLines(r) // trailers, which nobody asked for
+		}
+		return body, err
+	}
+	body := make([]byte, 0, min(length, firstPart))
+	for int64(len(body)) < length {
+		body = slices.Grow(body, int(min(length-int64(len(body)), firstPart)))
+		n, err := r.Read(body[len(body):min(int64(cap(body)), length)])
+		if body = body[:len(body)+n]; err != nil && int64(len(body)) < length {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
+// readAnswer reads an endpoint's final answer whole and tells its status. An answer that does not tell its length
+// may have been cut off: it is none.
+func readAnswer(r *bufio.Reader) (status int, m message, body []byte, err error) {
+	for range maxInterim {
+		if m, err = readMessage(r); err != nil {
+			return 0, m, nil, err
+		}
+		version, rest, _ := strings.Cut(m.first, " ")
+		code, _, _ := strings.Cut(rest, " ")
+		status, err = strconv.Atoi(code)
+		switch {
+		case err != nil || len(code) != 3 || version != "HTTP/1.1" && version != "HTTP/1.0":
+			return 0, m, nil, errHead
+		case status < 100 || status == http.StatusSwitchingProtocols:
+			return 0, m, nil, errHead
+		case status < 200:
+			continue
+		case status == http.StatusNoContent || status == http.StatusNotModified:
+			return status, m, nil, nil
+		case m.length == untold:
+			return 0, m, nil, errLength
+		}
+		body, err = readBody(r, m.length)
+		return status, m, body, err
+	}
+	return 0, m, nil, errTooLong
+}
+
+// lasts tells whether the peer keeps the connection open behind this message.
+func (m *message) lasts() bool {
+	return !strings.Contains(m.first, "HTTP/1.0") && !m.lists("Connection", "close")
+}
+
+// lists tells whether a header that holds a list names a token.
+func (m *message) lists(name, token string) bool {
+	for _, v := range m.header[name] {
+		for t := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(t), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Expect", "Content-Length"}
+
+// endToEnd takes those out of the headers, and the ones that Connection names.
+func endToEnd(h http.Header) http.Header {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	return h
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -85,16 +85,15 @@
 	go s.loop.run()
 	s.loop.post(func() { s.loop.list(s.cfg.Known, whinknot.ListCached) })
 	served := make(chan error, 1)
-	go func() {
-		served <- s.front.server.Serve(&limited{s.listener, make(chan struct{}, s.callers)})
-	}()
+	go func() { served <- s.front.serve(s.listener) }()
 	slog.Info("serving", "listen", s.listener.Addr(), "known", len(s.cfg.Known.Targets), "rev", s.cfg.Known.Rev)
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return s.front.drain(s.listener, s.last())
+	s.front.drain(s.listener, s.last())
+	return nil
 }
 
 // Move has discovery watched at another address from now on; the list that is held stays in use.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -6,13 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"slices"
-	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -32,9 +30,9 @@
 
 // outgoing is what every attempt of a request sends, but for the time left.
 type outgoing struct {
-	method, uri, host string
-	header            http.Header // its own copy
-	body              []byte
+	start  string // request line and Host
+	header http.Header
+	body   []byte
 }
 
 // answer is a whole answer for a caller.
@@ -188,18 +186,16 @@
 // exchange writes the request, waits for the answer and tells whether the connection can be used again.
 func exchange(a *attempt, c *conn, out *outgoing, until time.Time) (whinknot.Outcome, *answer, bool) {
 	c.SetDeadline(until)
-	req := &http.Request{
-		Method: out.method, URL: &url.URL{Opaque: out.uri}, Host: out.host, Header: out.header.Clone(),
-		Body: http.NoBody, ContentLength: int64(len(out.body)),
-	}
-	if len(out.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(out.body))
-	}
-	req.Header.Set("X-Deadline", strconv.FormatFloat(max(time.Until(until), 0).Seconds(), 'f', 3, 64))
 	var text bytes.Buffer
-	if err := req.Write(&text); err != nil {
-		return whinknot.NotSent, nil, false
-	}
+	text.Grow(len(out.start) + len(out.body) + 512)
+	text.WriteString(out.start)
+	out.header.WriteSubset(&text, map[string]bool{"X-Deadline": true})
+	fmt.Fprintf(&text, "X-Deadline: %.3f\r\n", max(time.Until(until), 0).Seconds())
+	if len(out.body) > 0 || !strings.HasPrefix(out.start, "GET ") {
+		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(out.body))
+	}
+	text.WriteString("\r\n")
+	text.Write(out.body)
 	if !a.claim() {
 		return whinknot.Cancelled, nil, false
 	}
@@ -209,20 +205,17 @@
 	if n, err := c.Write(text.Bytes()); n < text.Len() {
 		return brokenOff(a, err, whinknot.ConnectFailed), nil, false
 	}
-	res, err := http.ReadResponse(c.reader, req)
-	if err != nil {
-		return brokenOff(a, err, whinknot.Reset), nil, false
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
+	// What cannot be read whole may have run, whatever its head says.
+	status, m, body, err := readAnswer(c.reader)
 	if err != nil {
 		return brokenOff(a, err, whinknot.Reset), nil, false
 	}
-	keep := !res.Close && len(body) <= maxBody && c.reader.Buffered() == 0
+	// Bytes behind a sound answer do not spoil it, but no answer read after them can be trusted.
+	keep := m.lasts() && c.reader.Buffered() == 0 && stillOpen(c.Conn)
 	switch {
-	case res.StatusCode == http.StatusOK && len(body) <= maxBody:
-		return whinknot.OK, &answer{status: http.StatusOK, header: endToEnd(res.Header), body: body}, keep
-	case (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout) &&
-		res.Header.Get("X-Not-Run") == "1":
+	case status == http.StatusOK:
+		return whinknot.OK, &answer{status: status, header: endToEnd(m.header), body: body}, keep
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && m.header.Get("X-Not-Run") == "1":
 		return whinknot.Full, nil, keep
 	}
 	return whinknot.Error, nil, keep
@@ -277,7 +270,7 @@
 		return nil
 	}
 	c := e.idle[n]
-	e.idle = e.idle[:n]
+	e.idle[n], e.idle = nil, e.idle[:n]
 	if time.Since(c.since) > u.idleLimit { // so are all the others: they are older
 		e.idle = append(e.idle, c)
 		u.closeIdle(e)
@@ -371,16 +364,3 @@
 	})
 	return err == nil && open
 }
-
-// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding",
-	"Upgrade", "Expect", "Content-Length"}
-
-// endToEnd is a copy of the headers without those.
-func endToEnd(h http.Header) http.Header {
-	h = h.Clone()
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-	return h
-}
