Shrink the room with the live list, and count only calls at servers in it

Cause: list() in balancer.go left b.room and b.out as they were when servers went; reviseRoom takes a second for each tenth. Ruled out: the list (told at once, see the logs), connects (11 in 100 at most, late).

--- a/balancer.go
+++ b/balancer.go
@@ -528,7 +528,7 @@
 		s.heard = b.now
 	}
 	s.out += calls
-	if !s.cut {
+	if !s.cut && s.ready() {
 		b.out += calls
 	}
 }
@@ -718,7 +718,8 @@
 	}
 	s.goods = 0
 	s.run++
-	if s.run > runLimit && !s.cut && float64(b.cuts+1) <= max(1, sharedPart*float64(len(b.live))) {
+	more := float64(b.cuts+1) <= max(1, sharedPart*float64(len(b.live)))
+	if s.run > runLimit && !s.cut && s.ready() && more {
 		b.out -= s.out
 		s.cut, s.measured = true, true
 		s.load = b.floor()
@@ -846,7 +847,7 @@
 
 // unmeasure lets a server take the others' mean again, as after a good run of trials.
 func (b *Balancer) unmeasure(s *server) {
-	if s.cut {
+	if s.cut && s.ready() {
 		b.out += s.out
 	}
 	s.measured, s.cut, s.run, s.goods, s.count, s.good = false, false, 0, 0, 0, 0
@@ -897,10 +898,20 @@
 			b.live = append(b.live, s)
 		}
 	}
+	before := len(b.live)
 	b.live = slices.DeleteFunc(b.live, func(s *server) bool {
 		b.closeIdle(s)
 		return !s.ready()
 	})
+	b.out = 0
+	for _, s := range b.live {
+		if !s.cut {
+			b.out += s.out
+		}
+	}
+	if n := len(b.live); n < before { // those that are left can hold no more than they did
+		b.room *= float64(n) / float64(before)
+	}
 	// Servers come and go for as long as a copy runs: what is gone for good must not be kept.
 	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool { return !s.listed && s.out == 0 && !s.asked })
 	b.recount()
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -200,6 +200,35 @@
 	}
 }
 
+// When servers leave the list, the calls out at them no longer count and those that are left get no more than before:
+// else the rest jams under the calls of all.
+func TestRoomShrinksWithTheList(t *testing.T) {
+	h := start(t, plain(), ids(4)...)
+	for id := uint32(1); id <= 8; id++ {
+		h.request(id, 0)
+	}
+	h.b.room = 40
+	left := h.b.live[3]
+	if h.b.out != 8 || left.out == 0 {
+		t.Fatalf("%d calls out, %d at the server that leaves", h.b.out, left.out)
+	}
+	gone := left.ServerEntry
+	gone.State = Draining
+	h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{gone}})
+	if h.b.room != 30 || h.b.out != 8-left.out {
+		t.Errorf("room %v and %d calls out, want 30 and %d", h.b.room, h.b.out, 8-left.out)
+	}
+	for id, q := range h.b.requests { // an answer from there changes nothing any more
+		if q.attempts[0].server == left {
+			out := h.b.out
+			h.do(Event{Kind: EvOutcome, Request: id, Server: left.Server, Outcome: OK, Took: 5, Done: true})
+			if h.b.out != out {
+				t.Errorf("%d calls out, want %d", h.b.out, out)
+			}
+		}
+	}
+}
+
 // A waiting call behind a head with more time must still be answered in its time.
 func TestCallBehindThePatientHeadIsAnswered(t *testing.T) {
 	h := start(t, plain())
