Keep callers' connections through a drain for as long as there is time

Cause: talk() in front.go closed a connection with its first answer after SIGTERM and drain() all others 1.2 s after, while callers go on using what stays open. Ruled out: lost requests (none), the drained sidecar's own answers (7 in 100 refused). Now they end 1.3 s before the rest is given up, which leaves what was taken its time.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -20,8 +20,9 @@
 	statusRefused = http.StatusServiceUnavailable
 	statusFailed  = http.StatusBadGateway
 
-	acceptTime = 600 * time.Millisecond // new connections come for up to 0.4 s after SIGTERM
-	idleTime   = 600 * time.Millisecond // from then until connections between requests are closed
+	acceptTime = 600 * time.Millisecond  // new connections come for up to 0.4 s after SIGTERM
+	finishTime = 1300 * time.Millisecond // for what was taken, from the end of taking until the rest is given up
+	lastWrites = 150 * time.Millisecond  // for the answers that are given then
 )
 
 // front takes requests from callers and answers them.
@@ -31,7 +32,8 @@
 	classes  map[string]uint16
 	tenants  map[string]uint16
 	callers  *callers
-	draining atomic.Bool
+	draining atomic.Bool   // not ready any more
+	ending   atomic.Bool   // every answer closes its connection
 	accept   time.Duration // from SIGTERM until no new connection is taken
 	quiet    time.Duration // see quietTime
 }
@@ -69,7 +71,7 @@
 			f.complain(c, err)
 			return
 		}
-		lasts = m.lasts() && !f.draining.Load()
+		lasts = m.lasts() && !f.ending.Load()
 		if m.length == untold { // of a request: none
 			m.length = 0
 		}
@@ -93,7 +95,7 @@
 			return
 		}
 		a, ok := f.have(c, k)
-		lasts = lasts && !f.draining.Load() && a.status/100 != 4
+		lasts = lasts && !f.ending.Load() && a.status/100 != 4
 		if !ok || c.answer(&a, !lasts) != nil {
 			return
 		}
@@ -220,18 +222,16 @@
 	return k, 0, ""
 }
 
-// drain ends the front in order: it goes on taking requests while new connections may come, lets callers use
-// the ones they have a little longer, then finishes what was taken. What is left at last is given up.
+// drain ends the front in order: it goes on taking requests while new connections may come, and on those that it has
+// for as long as what comes there can be finished; then it finishes what was taken. What is left at last is given up.
 func (f *front) drain(ln net.Listener, last time.Duration) {
 	begun := time.Now()
 	f.draining.Store(true)
 	time.Sleep(f.accept)
 	ln.Close()
-	time.Sleep(time.Until(begun.Add(min(f.accept+idleTime, last))))
+	time.Sleep(time.Until(begun.Add(last - finishTime)))
+	f.ending.Store(true)
 	timer := time.AfterFunc(time.Until(begun.Add(last)), func() { f.loop.post(f.loop.giveUpAll) })
 	defer timer.Stop()
 	f.callers.drain(begun.Add(last + lastWrites))
 }
-
-// lastWrites is the time for the answers that are given at the very end.
-const lastWrites = 150 * time.Millisecond
