Take an endpoint's 4xx for the request's own fault

Cause: exchange() made an Error of it, which the module tries again and holds against the endpoint. Now it is final at once, once, and nothing is learnt of the endpoint.

--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -146,6 +146,28 @@
 	}
 }
 
+// A request that an endpoint cannot use is at fault itself: tried elsewhere, it costs every endpoint work and makes
+// each look broken.
+func TestUnusableRequestIsTriedOnce(t *testing.T) {
+	came := make(chan struct{}, 10)
+	unusable := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		came <- struct{}{}
+		io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	s := start(t, config(t, unusable.Addr().String()))
+	for range 5 {
+		c := dial(t, s)
+		c.send("GET", "read", "")
+		if res, _ := c.answer(t); res.StatusCode != 400 || !res.Close {
+			t.Errorf("status %d, close %v", res.StatusCode, res.Close)
+		}
+	}
+	if len(came) != 5 {
+		t.Errorf("%d attempts for 5 requests", len(came))
+	}
+}
+
 // What has ended is not kept until its time would have been up: a long day would hold every body for seconds.
 func TestEndedCallsAreForgotten(t *testing.T) {
 	s, _ := serving(t, nil)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -234,11 +234,11 @@
 	}()
 }
 
-// closed hears how an attempt ended. The first whole answer is the call's final one.
+// closed hears how an attempt ended, with the final answer where it gives one.
 func (l *loop) closed(c *call, number int, server uint32, o whinknot.Outcome, got *answer, took time.Duration) {
 	c.open--
 	c.mayRun = c.mayRun || o != whinknot.Full && o != whinknot.ConnectFailed && o != whinknot.NotSent
-	if o == whinknot.OK {
+	if got != nil {
 		l.finish(c, *got)
 	}
 	l.handle(&whinknot.Event{
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -217,6 +217,8 @@
 		return whinknot.OK, &answer{status: status, header: endToEnd(m.header), body: body}, keep
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && m.header.Get("X-Not-Run") == "1":
 		return whinknot.Full, nil, keep
+	case status/100 == 4: // the request's own fault: no other endpoint would serve it, and this one is sound
+		return whinknot.Cancelled, &answer{status: status}, keep
 	}
 	return whinknot.Error, nil, keep
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -87,6 +87,7 @@
 		{"over already", "HTTP/1.1 504 G\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Full},
 		{"503 that does not say so", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
 		{"500 is no turning away", "HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
+		{"the request's own fault", "HTTP/1.1 400 B\r\nContent-Length: 0\r\n\r\n", whinknot.Cancelled},
 		{"closed unanswered", "", whinknot.Reset},
 		{"cut in the header", "HTTP/1.1 200 OK\r\nContent-", whinknot.Reset},
 		{"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", whinknot.Reset},
@@ -115,10 +116,11 @@
 				return false
 			})
 			got, a := attemptOn(pool(ln.Addr().String(), 4), long)
-			if got != c.want || (a != nil) != (c.want == whinknot.OK) {
-				t.Errorf("outcome %v with answer %v, want %v", got, a, c.want)
+			final := c.want == whinknot.OK || c.want == whinknot.Cancelled
+			if got != c.want || (a != nil) != final {
+				t.Fatalf("outcome %v with answer %v, want %v", got, a, c.want)
 			}
-			if a != nil && string(a.body) != "hi" {
+			if got == whinknot.OK && string(a.body) != "hi" {
 				t.Errorf("body %q", a.body)
 			}
 		})
