Give cut servers their trial calls

Cause: in choose() a cut server ranked by its links and home like any other; once its connections had gone idle it stood under every linked one (10 against 20 to 40) and never returned, which DESIGN's floor is there to prevent. Now it comes first for a call of a safe class while it has a whole credit; its floor stays as it was.

--- a/balancer.go
+++ b/balancer.go
@@ -459,7 +459,9 @@
 			continue
 		}
 		rank := left/most - paceWeight*s.pace/max(b.typical, 1e-9) // of like servers the quicker one
-		if b.told(s) {
+		if s.cut && b.set.Classes[q.class].Effect == Safe {
+			rank += 50 // a trial call: its floor is small, and without one it never returns
+		} else if b.told(s) {
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
 		} else if s.out > 0 && b.now-s.heard > b.silence {
 			rank -= 40 // calls out and no answer for too long: over threshold already
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -267,6 +267,24 @@
 	}
 }
 
+// A cut server whose connections have gone idle must still get its trial calls while others have room, or it never
+// returns; a call that may not run twice is not risked on it.
+func TestCutServerGetsTrials(t *testing.T) {
+	for class, want := range []bool{true, false, false} {
+		set := plain()
+		set.Limits.ConnIdle = 1000
+		h := start(t, set, ids(2)...)
+		s := h.b.live[0]
+		s.cut, s.measured, s.load, s.run = true, true, 0.1, 3
+		h.now += 20000
+		h.b.live[1].linked, h.b.live[1].heard = true, h.now
+		acts := h.request(1, uint16(class))
+		if len(acts) != 1 || acts[0].Kind != ActSend || (acts[0].Server == s.Server) != want {
+			t.Errorf("class %d: %+v, a trial %v", class, acts, want)
+		}
+	}
+}
+
 // A waiting call behind a head with more time must still be answered in its time.
 func TestCallBehindThePatientHeadIsAnswered(t *testing.T) {
 	h := start(t, plain())
