Leave an inner trial call too when its server is silent

Ruled out: refusals by an inner queue (none), a short list. Now patience() holds for an inner copy at a cut server, which it has reason to doubt.

--- a/balancer.go
+++ b/balancer.go
@@ -531,7 +531,7 @@
 	}
 	q.open++
 	q.attempts = append(q.attempts, attempt{server: s, sentAt: b.now, held: s.held, open: true})
-	if wait := b.patience(q); wait > 0 {
+	if wait := b.patience(q, s); wait > 0 {
 		b.doubt(doubt{b.now + wait, q.id, uint16(len(q.attempts) - 1)})
 	}
 	b.acts = append(b.acts, Action{Kind: ActSend, Request: q.id, Server: s.Server, Until: q.due})
@@ -539,9 +539,9 @@
 }
 
 // patience is how long a call waits for a server that says nothing; 0 = to its end. An inner copy hears of
-// each server too seldom to tell, and a call that may not run twice is not sent twice.
-func (b *Balancer) patience(q *request) float64 {
-	if b.set.Stage > 0 || !b.set.Limits.Cancel || b.set.Classes[q.class].Effect != Safe {
+// each server too seldom to tell, but for a cut one, and a call that may not run twice is not sent twice.
+func (b *Balancer) patience(q *request, s *server) float64 {
+	if b.set.Stage > 0 && !s.cut || !b.set.Limits.Cancel || b.set.Classes[q.class].Effect != Safe {
 		return 0
 	}
 	return patience * b.classes[q.class].latency
@@ -565,7 +565,7 @@
 			continue
 		}
 		a := &q.attempts[d.attempt]
-		if at := max(a.sentAt, a.server.heard) + b.patience(q); at > b.now {
+		if at := max(a.sentAt, a.server.heard) + b.patience(q, a.server); at > b.now {
 			b.doubt(doubt{at, d.request, d.attempt})
 		} else if b.now < b.lastStart(q) && len(q.attempts) < b.set.Limits.MaxAttempts {
 			a.silent = true
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -236,14 +236,26 @@
 		name    string
 		class   uint16
 		answers bool
+		stage   int
+		cut     bool
 		want    bool
-	}{{"silent", 0, false, true}, {"slow", 0, true, false}, {"keyed", 1, false, false}} {
+	}{
+		{"silent", 0, false, 0, false, true}, {"slow", 0, true, 0, false, false}, {"keyed", 1, false, 0, false, false},
+		{"inner", 0, false, 1, false, false}, {"inner trial", 0, false, 1, true, true},
+	} {
 		set := plain()
+		set.Stage, set.Stages = c.stage, 2
 		set.Limits.Cancel = true
 		h := start(t, set, ids(2)...)
 		h.b.classes[c.class].latency = 10
+		if s := h.b.live[0]; c.cut {
+			s.cut, s.measured, s.load, s.credit = true, true, 1, 1
+		}
 		sent := h.request(1, c.class)
 		s := h.b.byID[sent[0].Server]
+		if s.cut != c.cut {
+			t.Fatalf("%s: sent to the other server", c.name)
+		}
 		h.now += 40
 		if c.answers {
 			s.heard = h.now
