Let the host tell the module of spent calls, empty pools and a moved limit

A sidecar of several pools needs three things that the module was never told: that a streamed request's bytes are gone, so that no second attempt can be made; that with no server listed a call is to be ended at once and not held until one comes; and that the descriptors a pool may use have changed, as pools come and go in a reload.

--- a/api.go
+++ b/api.go
@@ -61,6 +61,7 @@
 	ConnectTimeout float64
 	ConnIdle       float64 // an idle connection closes after this; 0 = not told
 	Streams        int     // attempts that one connection carries at once; default 1
+	RefuseEmpty    bool    // with no server to send to, calls are ended at once instead of waiting for one
 }
 
 // Safety holds the figures of the four rules.
@@ -156,11 +157,12 @@
 const (
 	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, Due, Hint
 	EvFirst                        // Request, Attempt, Server, Took
-	EvOutcome                      // Request, Attempt, Server, Outcome, Took, Done
+	EvOutcome                      // Request, Attempt, Server, Outcome, Took, Done, Spent
 	EvGone                         // Request
 	EvList                         // List, Servers
 	EvTimer                        // Token
 	EvProbe                        // Server, Outcome, Took, Report, Values
+	EvLimit                        // MaxOpen: the host's own limit is another from now on
 )
 
 // ListKind tells how a list event is to be read.
@@ -195,6 +197,8 @@
 	List    ListKind
 	Outcome Outcome
 	Done    bool // the request has ended, by this outcome or before
+	Spent   bool // the request cannot be sent again: its bytes are gone
+	MaxOpen int  // open requests from now on; 0 = no bound
 	Class   uint16
 	Tenant  uint16
 	Attempt uint16
--- a/balancer.go
+++ b/balancer.go
@@ -248,6 +248,8 @@
 				b.heldMean += latencyGain * (s.held - b.heldMean)
 			}
 		}
+	case EvLimit:
+		b.set.Limits.MaxOpen = max(ev.MaxOpen, 0)
 	case EvTimer:
 		if ev.Token == b.timer {
 			b.wakeAt = 0 // known by its number: a host's clock may round it to come early
@@ -286,6 +288,7 @@
 	over := b.overQuota(q)
 	bound := (1 + queuePart*b.meanAim/1000*b.sends.rate) * b.valueShare(q, over)
 	full, most := len(b.live) > 0 && len(b.queue) > int(bound), b.set.Limits.MaxOpen
+	full = full || b.mustNotWait()
 	full = full || over && b.firstRoom > heldLeast && float64(b.out) >= overRoom*b.room
 	if full || most > 0 && len(b.requests) > most {
 		b.end(q)
@@ -295,6 +298,9 @@
 	b.probe(q)
 }
 
+// mustNotWait tells whether a call is to be ended at once for want of any server, where the host wishes that.
+func (b *Balancer) mustNotWait() bool { return b.set.Limits.RefuseEmpty && len(b.live) == 0 }
+
 // probe asks some servers what they hold, for a call that has just come. It acts where a
 // probe costs next to nothing: a copy with few calls learns so what all copies have sent.
 func (b *Balancer) probe(q *request) {
@@ -420,7 +426,7 @@
 func (b *Balancer) sweep() {
 	b.sweepAt = math.Inf(1)
 	for _, q := range b.queue {
-		if at := b.lastStart(q); !q.ended && b.now >= at {
+		if at := b.lastStart(q); !q.ended && (b.now >= at || b.mustNotWait()) {
 			b.end(q)
 		} else if !q.ended {
 			b.sweepAt = min(b.sweepAt, at)
@@ -723,7 +729,7 @@
 	switch {
 	case q.ended || ev.Done || ev.Outcome == OK:
 		b.forget(q)
-	case b.now >= b.lastStart(q):
+	case ev.Spent || b.now >= b.lastStart(q) || b.mustNotWait():
 		b.end(q)
 	case b.mayTry(q) && (!q.mayRun || b.set.Classes[q.class].Effect == Safe):
 		b.enqueue(q, 0)
@@ -976,6 +982,9 @@
 		b.closeIdle(s)
 		return !s.ready()
 	})
+	if b.mustNotWait() {
+		b.sweepAt = b.now // what waits is not to wait any longer
+	}
 	b.out = 0
 	for _, s := range b.live {
 		if !s.cut {
