Add operator: the operator file, strictly loaded, checked, compared and its descriptors shared out

Listeners, pools, classes, sources, servers and routes of one sidecar in TOML. A file is taken whole or not at all, and all that is wrong is told at once with file, line and field: the library's strict mode stops at the first value of a wrong type, so the decoded tree is bound to the schema by our own binder and lines come from the library's parser. Shares of descriptors sum to the limit.

--- /dev/null
+++ b/internal/operator/check.go
@@ -0,0 +1,524 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"hash"
+	"net"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"time"
+
+	"whinknot/internal/route"
+)
+
+// Bounds of what a file may ask for.
+const (
+	maxListeners = 64
+	maxPools     = 256
+	maxRoutes    = 20_000
+	maxServers   = 20_000
+	maxTime      = time.Hour
+	maxAttempts  = 4
+	LeastSockets = 64 // fewer leave none for callers and servers
+	leastMemory  = 16 << 20
+)
+
+var names = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,63}$`)
+
+type checker struct {
+	*document
+	cfg    *Config
+	folder string
+	sum    hash.Hash
+}
+
+func (c *checker) check() {
+	f := &c.cfg.File
+	if f.Name == "" {
+		f.Name = "milletmast"
+	}
+	c.limits(&f.Limits)
+	c.listeners()
+	c.pools()
+	c.routes()
+	c.shares()
+}
+
+func (c *checker) limits(l *Limits) {
+	if l.Memory < leastMemory {
+		c.complainf("limits.memory", "%v is under the %v needed", l.Memory, Size(leastMemory))
+	}
+	if l.Sockets < LeastSockets || l.Sockets > 1<<20 {
+		c.complainf("limits.sockets", "%d is not within %d and %d", l.Sockets, LeastSockets, 1<<20)
+	}
+	if l.Cores < 1 || l.Cores > 256 {
+		c.complainf("limits.cores", "%d is not within 1 and 256", l.Cores)
+	}
+}
+
+// name checks a name and that it is the only one of its kind.
+func (d *document) uniqueName(path, name string, seen map[string]string) {
+	if !names.MatchString(name) {
+		d.complainf(join(path, "name"), "%q is no name: letters, digits and . _ : - are allowed, 64 at most", name)
+		return
+	}
+	if first, ok := seen[name]; ok {
+		d.complainf(join(path, "name"), "%q names %s already", name, first)
+		return
+	}
+	seen[name] = path
+}
+
+func (c *checker) listeners() {
+	list := c.cfg.Listeners
+	if len(list) == 0 {
+		c.complain("listener", errors.New("there is none: nothing could come in"))
+	}
+	if len(list) > maxListeners {
+		c.complainf("listener", "%d of them, over the %d allowed", len(list), maxListeners)
+		return
+	}
+	seen := map[string]string{}
+	for i := range list {
+		l, path := &list[i], fmt.Sprintf("listener[%d]", i)
+		c.uniqueName(path, l.Name, seen)
+		if l.Front != "http" {
+			c.complainf(path+".front", "%q is unknown: there is \"http\"", l.Front)
+		}
+		if l.MaxBody < 1 || l.MaxBody > 1<<40 {
+			c.complainf(path+".max_body", "%v is not within 1 and 1024GiB", l.MaxBody)
+		}
+		if err := checkAddress(l.Address, true); err != nil {
+			c.complain(path+".address", err)
+			continue
+		}
+		for j := range i {
+			if overlap(list[j].Address, l.Address) {
+				c.complainf(path+".address", "%s overlaps with %s of listener %q", l.Address, list[j].Address, list[j].Name)
+			}
+		}
+	}
+}
+
+// checkAddress checks a host and port.
+func checkAddress(address string, listen bool) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("%q is no address: write one as \"127.0.0.1:8080\"", address)
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || n == 0 && !listen {
+		return fmt.Errorf("%q is no address: %q is no port", address, port)
+	}
+	if host == "" && !listen {
+		return fmt.Errorf("%q is no address: it names no host", address)
+	}
+	return nil
+}
+
+// overlap tells whether two addresses to listen on can not both be had.
+func overlap(a, b string) bool {
+	hostA, portA, errA := net.SplitHostPort(a)
+	hostB, portB, errB := net.SplitHostPort(b)
+	if errA != nil || errB != nil || portA != portB || portA == "0" {
+		return false
+	}
+	ipA, ipB := listenIP(hostA), listenIP(hostB)
+	if ipA == nil || ipB == nil {
+		return hostA == hostB
+	}
+	return ipA.IsUnspecified() || ipB.IsUnspecified() || ipA.Equal(ipB)
+}
+
+func listenIP(host string) net.IP {
+	switch host {
+	case "":
+		return net.IPv6unspecified
+	case "localhost":
+		return net.IPv4(127, 0, 0, 1)
+	}
+	return net.ParseIP(host)
+}
+
+func (c *checker) pools() {
+	list := c.cfg.Pools
+	if len(list) > maxPools {
+		c.complainf("pool", "%d of them, over the %d allowed", len(list), maxPools)
+		return
+	}
+	seen := map[string]string{}
+	for i := range list {
+		path := fmt.Sprintf("pool[%d]", i)
+		c.uniqueName(path, list[i].Name, seen)
+		c.pool(path, &list[i])
+	}
+}
+
+func (c *checker) pool(path string, p *Pool) {
+	if p.Attempts < 1 || p.Attempts > maxAttempts {
+		c.complainf(path+".attempts", "%d is not within 1 and %d", p.Attempts, maxAttempts)
+	}
+	c.within(path+".connect_timeout", p.ConnectTimeout, time.Millisecond, time.Minute)
+	c.within(path+".idle_timeout", p.IdleTimeout, 10*time.Millisecond, maxTime)
+	c.within(path+".stream_time", p.StreamTime, time.Millisecond, 24*time.Hour)
+	c.within(path+".stream_idle", p.StreamIdle, time.Millisecond, maxTime)
+	c.within(path+".drain_grace", p.DrainGrace, 50*time.Millisecond, 500*time.Millisecond)
+	c.within(path+".ramp", p.Ramp, 0, maxTime)
+	if p.RetryWindow != 0 {
+		c.within(path+".retry_window", p.RetryWindow, time.Millisecond, maxTime)
+	} else if p.RetryShare != 0 || p.RetryFree != 0 {
+		c.complain(path+".retry_window", errors.New("is missing: retry_share and retry_free count within it"))
+	}
+	if p.StreamIdle > p.StreamTime {
+		c.complainf(path+".stream_idle", "%v is longer than the stream_time of %v", p.StreamIdle, p.StreamTime)
+	}
+	if p.ColdFrom < 0 || p.ColdFrom > 1 {
+		c.complainf(path+".cold_from", "%v is not within 0 and 1", p.ColdFrom)
+	}
+	if p.RetryShare < 0 || p.RetryShare > 1 {
+		c.complainf(path+".retry_share", "%v is not within 0 and 1", p.RetryShare)
+	}
+	if p.RetryFree < 0 {
+		c.complainf(path+".retry_free", "%d is negative", p.RetryFree)
+	}
+	if p.Connections.Least < 1 {
+		c.complainf(path+".connections.least", "%d leaves the pool none", p.Connections.Least)
+	}
+	if p.Connections.Weight < 0 || p.Connections.Weight > 1e6 {
+		c.complainf(path+".connections.weight", "%v is not within 0 and 1000000", p.Connections.Weight)
+	}
+	if p.Copies < 1 || p.Copies > 10_000 {
+		c.complainf(path+".copies", "%d is not within 1 and 10000", p.Copies)
+	} else if p.Rank < 0 || p.Rank >= p.Copies {
+		c.complainf(path+".rank", "%d is not the number of one of %d copies, which count from 0", p.Rank, p.Copies)
+	}
+	if len(p.Zones) > 250 {
+		c.complainf(path+".zones", "%d of them, over the 250 allowed", len(p.Zones))
+	}
+	for i, z := range p.Zones {
+		if z == "" || slices.Contains(p.Zones[:i], z) {
+			c.complainf(fmt.Sprintf("%s.zones[%d]", path, i), "%q is empty or comes twice", z)
+		}
+	}
+	if len(p.Zones) > 0 && !slices.Contains(p.Zones, p.Zone) {
+		c.complainf(path+".zone", "%q is none of the zones", p.Zone)
+	} else if len(p.Zones) == 0 && p.Zone != "" {
+		c.complain(path+".zone", errors.New("there are no zones: name them in zones"))
+	}
+	c.classes(path, p)
+	tenants := map[string]string{}
+	for i, t := range p.Tenants {
+		at := fmt.Sprintf("%s.tenant[%d]", path, i)
+		c.uniqueName(at, t.Name, tenants)
+		if t.Quota < 0 {
+			c.complainf(at+".quota", "%v is negative", t.Quota)
+		}
+	}
+	c.source(path, p)
+}
+
+func (d *document) within(path string, v Duration, least, most time.Duration) {
+	if time.Duration(v) < least || time.Duration(v) > most {
+		d.complainf(path, "%v is an impossible time: from %v to %v is possible", v, least, most)
+	}
+}
+
+func (c *checker) classes(path string, p *Pool) {
+	if len(p.Classes) == 0 {
+		c.complain(path+".class", errors.New("there is none: no request could be of one"))
+	}
+	if len(p.Classes) > 1000 {
+		c.complainf(path+".class", "%d of them, over the 1000 allowed", len(p.Classes))
+	}
+	seen := map[string]string{}
+	for i := range p.Classes {
+		k, at := &p.Classes[i], fmt.Sprintf("%s.class[%d]", path, i)
+		c.uniqueName(at, k.Name, seen)
+		c.within(at+".aim", k.Aim, time.Millisecond, maxTime)
+		c.within(at+".give_up", k.GiveUp, time.Millisecond, maxTime)
+		if k.Aim > k.GiveUp {
+			c.complainf(at+".aim", "%v is longer than the give_up of %v", k.Aim, k.GiveUp)
+		}
+		if p.ConnectTimeout >= k.GiveUp && k.GiveUp > 0 {
+			c.complainf(path+".connect_timeout", "%v leaves class %q none of its give_up of %v", p.ConnectTimeout, k.Name, k.GiveUp)
+		}
+		if k.Worth < 0 || k.Worth > 1e9 {
+			c.complainf(at+".worth", "%v is not within 0 and 1000000000", k.Worth)
+		}
+		if k.Late < 0 || k.Late > 1 {
+			c.complainf(at+".late_worth", "%v is not within 0 and 1", k.Late)
+		}
+		if _, ok := effects[k.Effect]; !ok {
+			c.complainf(at+".effect", "%q is unknown: safe (may be repeated), keyed (repeats are dropped) or unsafe", k.Effect)
+			continue
+		}
+		if k.Effect != "keyed" {
+			if k.Group != "" || k.Window != 0 {
+				c.complain(at+".group", errors.New("only a keyed class has a group and a window"))
+			}
+			continue
+		}
+		if _, ok := groups[k.Group]; !ok {
+			c.complainf(at+".group", "%q is unknown: all, zone or cell, the servers that drop a repeat", k.Group)
+		}
+		c.within(at+".window", k.Window, time.Millisecond, 24*time.Hour)
+	}
+}
+
+func (c *checker) source(path string, p *Pool) {
+	s, at := &p.Source, path+".source"
+	if s.Type != "static" && len(p.Servers) > 0 {
+		c.complainf(path+".server", "a pool has servers here only with a static source, not with %q", s.Type)
+	}
+	if s.Type != "file" && s.Path != "" {
+		c.complain(at+".path", errors.New("only a source of type file has a path"))
+	}
+	if s.Type != "discovery" && s.Address != "" {
+		c.complain(at+".address", errors.New("only a source of type discovery has an address"))
+	}
+	switch s.Type {
+	case "static":
+		c.servers(path+".server", p.Servers, p.Zones)
+	case "file":
+		c.within(at+".every", s.Every, 10*time.Millisecond, time.Minute)
+		if s.Path == "" {
+			c.complain(at+".path", errors.New("is missing: a file of servers"))
+			return
+		}
+		if !filepath.IsAbs(s.Path) {
+			s.Path = filepath.Join(c.folder, s.Path)
+		}
+		servers, text, err := loadServers(s.Path, p.Zones)
+		if err != nil {
+			var all Errors
+			if errors.As(err, &all) {
+				c.errs = append(c.errs, all...)
+			} else {
+				c.complain(at+".path", err)
+			}
+			return
+		}
+		c.sum.Write(text)
+		c.cfg.Named[p.Name] = servers
+	case "discovery":
+		if err := checkAddress(s.Address, false); err != nil {
+			c.complain(at+".address", err)
+		}
+	default:
+		c.complainf(at+".type", "%q is unknown: static, file or discovery", s.Type)
+	}
+}
+
+// servers checks a list of servers and gives those without an id their address for one.
+func (d *document) servers(path string, list []Server, zones []string) {
+	if len(list) > maxServers {
+		d.complainf(path, "%d servers, over the %d allowed", len(list), maxServers)
+		return
+	}
+	ids := map[string]int{}
+	for i := range list {
+		s, at := &list[i], fmt.Sprintf("%s[%d]", path, i)
+		if err := checkAddress(s.Address, false); err != nil {
+			d.complain(at+".address", err)
+		}
+		if s.ID == "" {
+			s.ID = s.Address
+		}
+		if first, ok := ids[s.ID]; ok {
+			d.complainf(at+".id", "%q is the id of %s[%d] already", s.ID, path, first)
+		}
+		ids[s.ID] = i
+		if s.State != "ready" && s.State != "draining" {
+			d.complainf(at+".state", "%q is unknown: ready or draining", s.State)
+		}
+		if s.Zone != "" && !slices.Contains(zones, s.Zone) {
+			d.complainf(at+".zone", "%q is none of the pool's zones", s.Zone)
+		}
+		if s.Cell < 0 || s.Cell > 65535 {
+			d.complainf(at+".cell", "%d is not within 0 and 65535", s.Cell)
+		}
+		if s.Weight < 0 || s.Weight > 1e6 {
+			d.complainf(at+".weight", "%v is not within 0 and 1000000", s.Weight)
+		}
+		if _, err := time.Parse(time.RFC3339, s.Started); s.Started != "" && err != nil {
+			d.complainf(at+".started", "%q is no time of RFC 3339, like \"2026-03-01T08:00:00Z\"", s.Started)
+		}
+	}
+}
+
+// fieldOf names the key of a route that a complaint of the table is about.
+func (r *Route) fieldOf(field string) string {
+	switch field {
+	case "path":
+		return r.pathKey()
+	case "rewrite":
+		if r.ReplacePrefix != "" {
+			return "replace_prefix"
+		}
+		return "strip_prefix"
+	case "answer":
+		if r.Redirect != "" {
+			return "redirect"
+		}
+		return "status"
+	}
+	return field
+}
+
+func (r *Route) pathKey() string {
+	switch {
+	case r.Exact != "":
+		return "exact"
+	case r.Regex != "":
+		return "regex"
+	}
+	return "prefix"
+}
+
+func (c *checker) routes() {
+	list := c.cfg.Routes
+	if len(list) > maxRoutes {
+		c.complainf("route", "%d of them, over the %d allowed", len(list), maxRoutes)
+		return
+	}
+	listeners := map[string]bool{}
+	for _, l := range c.cfg.Listeners {
+		listeners[l.Name] = true
+	}
+	classes := map[string]map[string]bool{}
+	for _, p := range c.cfg.Pools {
+		classes[p.Name] = map[string]bool{}
+		for _, k := range p.Classes {
+			classes[p.Name][k.Name] = true
+		}
+	}
+	seen := map[string]string{}
+	usable := make([]bool, len(list))
+	for i := range list {
+		path, bad := fmt.Sprintf("route[%d]", i), len(c.errs)
+		c.uniqueName(path, list[i].Name, seen)
+		c.route(path, &list[i], listeners, classes)
+		usable[i] = len(c.errs) == bad
+	}
+	told := map[string]bool{} // a route stands in the tables of several listeners
+	for _, l := range c.cfg.Listeners {
+		var rules []route.Rule
+		var places []int
+		for i := range list {
+			if r := &list[i]; usable[i] && (len(r.Listeners) == 0 || slices.Contains(r.Listeners, l.Name)) {
+				rules = append(rules, r.rule())
+				places = append(places, i)
+			}
+		}
+		table, errs := route.Compile(rules)
+		for _, err := range errs {
+			i := places[err.Rule]
+			path := fmt.Sprintf("route[%d].%s", i, list[i].fieldOf(err.Field))
+			if key := path + err.Err.Error(); !told[key] {
+				told[key] = true
+				c.complain(path, err.Err)
+			}
+		}
+		c.cfg.Tables[l.Name] = table
+	}
+}
+
+func (c *checker) route(path string, r *Route, listeners map[string]bool, classes map[string]map[string]bool) {
+	for i, l := range r.Listeners {
+		if !listeners[l] {
+			c.complainf(fmt.Sprintf("%s.listeners[%d]", path, i), "there is no listener %q", l)
+		}
+	}
+	given := 0
+	for _, s := range [...]string{r.Exact, r.Prefix, r.Regex} {
+		if s != "" {
+			given++
+		}
+	}
+	if given != 1 {
+		c.complain(path, errors.New("needs one of exact, prefix and regex"))
+	}
+	for field, list := range map[string][]Condition{"headers": r.Headers, "query": r.Query} {
+		for i, k := range list {
+			if at := fmt.Sprintf("%s.%s[%d]", path, field, i); k.Present != nil && k.Value != "" {
+				c.complain(at, errors.New("has a value or present, not both"))
+			}
+		}
+	}
+	if r.Status != 0 || r.Redirect != "" {
+		if r.Pool != "" || r.Class != "" {
+			c.complain(path+".pool", errors.New("a route gives a fixed answer or names a pool, not both"))
+		}
+		return
+	}
+	if r.Body != "" {
+		c.complain(path+".body", errors.New("is of a fixed answer: status is missing"))
+	}
+	known, ok := classes[r.Pool]
+	switch {
+	case r.Pool == "":
+		c.complain(path+".pool", errors.New("is missing, and so are status and redirect"))
+	case !ok:
+		c.complainf(path+".pool", "there is no pool %q", r.Pool)
+	case r.Class == "":
+		c.complain(path+".class", errors.New("is missing"))
+	case !known[r.Class]:
+		c.complainf(path+".class", "pool %q has no class %q", r.Pool, r.Class)
+	}
+}
+
+// rule turns a route into what the table takes.
+func (r *Route) rule() route.Rule {
+	rule := route.Rule{
+		Name: r.Name, Host: r.Host, Methods: r.Methods, Priority: r.Priority, Pool: r.Pool, Class: r.Class,
+		Headers: conditions(r.Headers), Query: conditions(r.Query),
+		Rewrite: route.Rewrite{Strip: r.StripPrefix || r.ReplacePrefix != "", Replace: r.ReplacePrefix},
+	}
+	switch r.pathKey() {
+	case "exact":
+		rule.Path, rule.Kind = r.Exact, route.Exact
+	case "regex":
+		rule.Path, rule.Kind = r.Regex, route.Regexp
+	default:
+		rule.Path, rule.Kind = r.Prefix, route.Prefix
+	}
+	if r.Status != 0 || r.Redirect != "" {
+		status := r.Status
+		if status == 0 {
+			status = 302
+		}
+		rule.Answer = &route.Answer{Status: status, Body: r.Body, Location: r.Redirect}
+	}
+	return rule
+}
+
+func conditions(list []Condition) []route.Condition {
+	out := make([]route.Condition, len(list))
+	for i, c := range list {
+		out[i] = route.Condition{Name: c.Name, Value: c.Value}
+		if c.Present != nil && *c.Present {
+			out[i].Kind = route.Present
+		} else if c.Present != nil {
+			out[i].Kind = route.Absent
+		}
+	}
+	return out
+}
+
+// shares checks that the descriptors suffice for what the pools are promised.
+func (c *checker) shares() {
+	if len(c.cfg.Pools) == 0 || c.cfg.Limits.Sockets < LeastSockets {
+		return
+	}
+	least := 0
+	for _, p := range c.cfg.Pools {
+		least += p.Connections.Least
+	}
+	if _, servers := c.cfg.Descriptors(); least > servers {
+		c.complainf("limits.sockets", "%d leave %d for connections to servers; the pools are promised %d together (connections.least)",
+			c.cfg.Limits.Sockets, servers, least)
+	}
+}
--- /dev/null
+++ b/internal/operator/load.go
@@ -0,0 +1,188 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"whinknot/internal/route"
+)
+
+// MaxFile is the size of the largest file that is read.
+const MaxFile = 8 << 20
+
+// maxErrors bounds what is told of one file.
+const maxErrors = 200
+
+// Error is one thing that is wrong in a file.
+type Error struct {
+	File  string
+	Line  int
+	Field string // its path, as route[2].pool
+	Err   error
+}
+
+func (e *Error) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s:%d: %v", e.File, e.Line, e.Err)
+	}
+	return fmt.Sprintf("%s:%d: %s: %v", e.File, e.Line, e.Field, e.Err)
+}
+
+// Unwrap gives the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Errors is all that is wrong in a file, in the order of its lines.
+type Errors []*Error
+
+func (es Errors) Error() string {
+	lines := make([]string, len(es))
+	for i, e := range es {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Config is a file that has been checked, with its routes compiled.
+type Config struct {
+	File
+	Path   string
+	Hash   string                  // SHA-256 of the text and of the server files, in hex
+	Tables map[string]*route.Table // by listener
+	Named  map[string][]Server     // what the server files held when the file was loaded, by pool
+}
+
+// Load reads and checks a file. The error is Errors where the file could be read at all.
+func Load(path string) (*Config, error) {
+	text, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// read reads a file of bounded size.
+func read(path string) ([]byte, error) {
+	if info, err := os.Stat(path); err != nil {
+		return nil, err
+	} else if !info.Mode().IsRegular() { // a pipe could keep us waiting, a device never end
+		return nil, fmt.Errorf("%s: is no regular file", path)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, MaxFile+1))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(text) > MaxFile {
+		return nil, fmt.Errorf("%s: the file is over %d MiB", path, MaxFile>>20)
+	}
+	return text, nil
+}
+
+// Parse checks the text of a file; path is its name, for errors and for what it names relative to its folder.
+func Parse(path string, text []byte) (*Config, error) {
+	d := &document{name: path}
+	cfg := &Config{Path: path, Tables: map[string]*route.Table{}, Named: map[string][]Server{}}
+	if !d.decode(text, &cfg.File) {
+		return nil, d.errs
+	}
+	sum := sha256.New()
+	sum.Write(text)
+	c := checker{document: d, cfg: cfg, folder: filepath.Dir(path), sum: sum}
+	c.check()
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	cfg.Hash = hex.EncodeToString(sum.Sum(nil))
+	return cfg, nil
+}
+
+// ServerFile is the form of a file of servers.
+type ServerFile struct {
+	Servers []Server `toml:"server"`
+}
+
+// LoadServers reads and checks a file of servers.
+func LoadServers(path string, zones []string) ([]Server, error) {
+	servers, _, err := loadServers(path, zones)
+	return servers, err
+}
+
+func loadServers(path string, zones []string) ([]Server, []byte, error) {
+	text, err := read(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	servers, err := ParseServers(path, text, zones)
+	return servers, text, err
+}
+
+// ParseServers checks the text of a file of servers.
+func ParseServers(path string, text []byte, zones []string) ([]Server, error) {
+	d := &document{name: path}
+	var f ServerFile
+	if !d.decode(text, &f) {
+		return nil, d.errs
+	}
+	d.servers("server", f.Servers, zones)
+	return f.Servers, d.err()
+}
+
+// document collects what is wrong in one file.
+type document struct {
+	name  string
+	lines *positions
+	errs  Errors
+}
+
+// decode reads the text into a struct and tells whether it is TOML at all.
+func (d *document) decode(text []byte, to any) bool {
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		line := 1
+		var at *toml.DecodeError
+		if errors.As(err, &at) {
+			line, _ = at.Position()
+		}
+		d.errs = append(d.errs, &Error{File: d.name, Line: max(line, 1), Err: errors.New(strings.TrimPrefix(err.Error(), "toml: "))})
+		return false
+	}
+	d.lines = locate(text)
+	b := binder{complain: d.complain}
+	b.table("", tree, reflect.ValueOf(to).Elem())
+	return true
+}
+
+func (d *document) complain(path string, err error) {
+	d.errs = append(d.errs, &Error{File: d.name, Line: d.lines.of(path), Field: path, Err: err})
+}
+
+func (d *document) complainf(path, format string, args ...any) {
+	d.complain(path, fmt.Errorf(format, args...))
+}
+
+// err gives what was told, in the order of the lines; nil for nothing.
+func (d *document) err() error {
+	if len(d.errs) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(d.errs, func(a, b *Error) int { return a.Line - b.Line })
+	if more := len(d.errs) - maxErrors; more > 0 {
+		last := d.errs[maxErrors]
+		d.errs = append(d.errs[:maxErrors], &Error{File: d.name, Line: last.Line, Err: fmt.Errorf("and %d more errors", more)})
+	}
+	return d.errs
+}
--- /dev/null
+++ b/internal/operator/schema.go
@@ -0,0 +1,198 @@
+// Package operator reads the operator file: listeners, pools, routes and limits of one sidecar, in TOML (v1.0.0). A file
+// is taken whole or not at all; all that is wrong in it is told, with file, line and field.
+package operator
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Duration is a time as Go writes it: "250ms", "1m30s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration; it is never negative.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil || v < 0 {
+		return fmt.Errorf("%q is no time: write one as \"250ms\" or \"1m30s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+func (d Duration) String() string { return time.Duration(d).String() }
+
+func (d Duration) ms() float64 { return float64(time.Duration(d).Microseconds()) / 1000 }
+
+// Size is a number of bytes: "64KiB", "8MiB", "512".
+type Size int64
+
+var units = []struct {
+	name string
+	of   int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}, {"", 1}}
+
+// UnmarshalText reads a size of up to 1 TiB.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, u := range units {
+		if number, ok := strings.CutSuffix(string(text), u.name); ok {
+			n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 41)
+			if err != nil || n < 0 || n > (1<<40)/u.of {
+				break
+			}
+			*s = Size(n * u.of)
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is no size: write one as \"64KiB\" or \"8MiB\"", text)
+}
+
+func (s Size) String() string {
+	for _, u := range []int{2, 1, 0} {
+		if n := int64(s); n > 0 && n%units[u].of == 0 {
+			return strconv.FormatInt(n/units[u].of, 10) + units[u].name
+		}
+	}
+	return strconv.FormatInt(int64(s), 10)
+}
+
+// File is the whole operator file.
+type File struct {
+	Name      string     `toml:"name"`
+	Limits    Limits     `toml:"limits"`
+	Listeners []Listener `toml:"listener"`
+	Pools     []Pool     `toml:"pool"`
+	Routes    []Route    `toml:"route"`
+}
+
+// Limits are what the whole process may use.
+type Limits struct {
+	Memory  Size `toml:"memory"`
+	Sockets int  `toml:"sockets"` // file descriptors
+	Cores   int  `toml:"cores"`
+}
+
+// Listener is one address at which requests are taken.
+type Listener struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"` // host:port; port 0 for any free one
+	Front   string `toml:"front"`   // "http": HTTP/1.1
+	MaxBody Size   `toml:"max_body"`
+}
+
+// Pool is a set of servers with one decision module of its own.
+type Pool struct {
+	Name           string   `toml:"name"`
+	Attempts       int      `toml:"attempts"` // for one request, all told
+	ConnectTimeout Duration `toml:"connect_timeout"`
+	IdleTimeout    Duration `toml:"idle_timeout"` // servers keep a quiet connection for so long
+	StreamTime     Duration `toml:"stream_time"`  // for a streamed body, either way, as a whole
+	StreamIdle     Duration `toml:"stream_idle"`  // and between two of its parts
+	DrainGrace     Duration `toml:"drain_grace"`
+	ColdFrom       float64  `toml:"cold_from"`
+	Ramp           Duration `toml:"ramp"`
+	RetryShare     float64  `toml:"retry_share"` // with a retry_window all attempts but the first are counted
+	RetryFree      int      `toml:"retry_free"`
+	RetryWindow    Duration `toml:"retry_window"`
+	Connections    Share    `toml:"connections"`
+	Copies         int      `toml:"copies"`
+	Rank           int      `toml:"rank"`
+	Zone           string   `toml:"zone"`
+	Zones          []string `toml:"zones"`
+	Classes        []Class  `toml:"class"`
+	Tenants        []Tenant `toml:"tenant"`
+	Source         Source   `toml:"source"`
+	Servers        []Server `toml:"server"`
+}
+
+// Share is a pool's part of the descriptors for servers.
+type Share struct {
+	Least  int     `toml:"least"`  // it has so many whatever other pools do
+	Weight float64 `toml:"weight"` // and of the rest a part by this weight
+}
+
+// Class is one kind of request to a pool.
+type Class struct {
+	Name   string   `toml:"name"`
+	Aim    Duration `toml:"aim"`
+	GiveUp Duration `toml:"give_up"`
+	Worth  float64  `toml:"worth"`
+	Late   float64  `toml:"late_worth"`
+	Effect string   `toml:"effect"` // safe, keyed or unsafe
+	Group  string   `toml:"group"`  // of a keyed class: all, zone or cell
+	Window Duration `toml:"window"` // of a keyed class
+}
+
+// Tenant is one of those who share a pool.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Quota float64 `toml:"quota"` // requests a second over all copies; 0 for none
+}
+
+// Source says where a pool's servers are told.
+type Source struct {
+	Type    string   `toml:"type"` // static (the servers below), file or discovery
+	Path    string   `toml:"path"`
+	Address string   `toml:"address"`
+	Every   Duration `toml:"every"` // between two looks at a file
+}
+
+// Server is one server of a static list or of a server file.
+type Server struct {
+	ID      string  `toml:"id"` // its address if absent
+	Address string  `toml:"address"`
+	Zone    string  `toml:"zone"`
+	Cell    int     `toml:"cell"`
+	State   string  `toml:"state"` // ready or draining
+	Weight  float64 `toml:"weight"`
+	Started string  `toml:"started"` // RFC 3339; "" for long ago
+}
+
+// Route sends requests to a class of a pool, or answers them.
+type Route struct {
+	Name          string      `toml:"name"`
+	Listeners     []string    `toml:"listeners"` // none for all
+	Host          string      `toml:"host"`
+	Exact         string      `toml:"exact"`
+	Prefix        string      `toml:"prefix"`
+	Regex         string      `toml:"regex"`
+	Methods       []string    `toml:"methods"`
+	Headers       []Condition `toml:"headers"`
+	Query         []Condition `toml:"query"`
+	Priority      int         `toml:"priority"`
+	Pool          string      `toml:"pool"`
+	Class         string      `toml:"class"`
+	StripPrefix   bool        `toml:"strip_prefix"`
+	ReplacePrefix string      `toml:"replace_prefix"`
+	Status        int         `toml:"status"`
+	Body          string      `toml:"body"`
+	Redirect      string      `toml:"redirect"`
+}
+
+// Condition is one on a header or a query parameter.
+type Condition struct {
+	Name    string `toml:"name"`
+	Value   string `toml:"value"`
+	Present *bool  `toml:"present"` // instead of a value
+}
+
+// The defaults of what a file leaves out.
+func (l *Limits) setDefaults()   { *l = Limits{Memory: 128 << 20, Sockets: 1024, Cores: 1} }
+func (l *Listener) setDefaults() { *l = Listener{Front: "http", MaxBody: 8 << 20} }
+func (s *Share) setDefaults()    { *s = Share{Least: 16, Weight: 1} }
+func (c *Class) setDefaults()    { *c = Class{Worth: 1} }
+func (s *Source) setDefaults()   { *s = Source{Type: "static", Every: Duration(250 * time.Millisecond)} }
+func (s *Server) setDefaults()   { *s = Server{State: "ready", Weight: 1} }
+func (p *Pool) setDefaults() {
+	*p = Pool{
+		Attempts: 3, ConnectTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second),
+		StreamTime: Duration(time.Minute), StreamIdle: Duration(10 * time.Second), DrainGrace: Duration(500 * time.Millisecond),
+		ColdFrom: 0.3, Ramp: Duration(8 * time.Second), Copies: 1,
+	}
+	p.Connections.setDefaults()
+	p.Source.setDefaults()
+}
+
+type defaulter interface{ setDefaults() }
