Let a front be told what requests are, and let long bodies stream on open calls

The conversation with a caller is now one piece of code, and an intake tells it what a request is: the platform's protocol, unchanged, or, to come, an operator's routes. Calls of operators' listeners may have any status passed on, keep a server's own word of a failure, and stream bodies over 64 KiB both ways through a bounded buffer: such a request is sent once and the module is told so. Connections of several pools are counted together in a ledger.

--- a/api.go
+++ b/api.go
@@ -155,7 +155,7 @@
 
 // The events a balancer handles.
 const (
-	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, Due, Hint
+	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, Due, Hint, Spent
 	EvFirst                        // Request, Attempt, Server, Took
 	EvOutcome                      // Request, Attempt, Server, Outcome, Took, Done, Spent
 	EvGone                         // Request
@@ -197,7 +197,7 @@
 	List    ListKind
 	Outcome Outcome
 	Done    bool // the request has ended, by this outcome or before
-	Spent   bool // the request cannot be sent again: its bytes are gone
+	Spent   bool // of a request: it can be sent once; of an outcome: it cannot be sent again, its bytes are gone
 	MaxOpen int  // open requests from now on; 0 = no bound
 	Class   uint16
 	Tenant  uint16
--- a/balancer.go
+++ b/balancer.go
@@ -114,6 +114,7 @@
 	ended             bool // a final answer was given or the client left
 	inTime            bool // it was served within its aim
 	queued, streaming bool
+	once              bool // it can be sent once
 	mayRun            bool // some closed attempt may have run
 	aimAt, due        float64
 	backAt            float64 // held back until then; 0 = not
@@ -270,7 +271,7 @@
 		return
 	}
 	q := b.newRequest()
-	q.id, q.class, q.tenant, q.due = ev.Request, ev.Class, ev.Tenant, ev.Due
+	q.id, q.class, q.tenant, q.due, q.once = ev.Request, ev.Class, ev.Tenant, ev.Due, ev.Spent
 	c := &b.set.Classes[q.class]
 	q.aimAt = b.now + min(c.GiveUp, c.Aim+c.AimStretch*ev.Hint)
 	if b.set.Stage > 0 && c.LateWorth == 0 {
@@ -548,7 +549,7 @@
 // patience is how long a call waits for a server that says nothing; 0 = to its end. An inner copy hears of
 // each server too seldom to tell, but for a cut one, and a call that may not run twice is not sent twice.
 func (b *Balancer) patience(q *request, s *server) float64 {
-	if b.set.Stage > 0 && !s.cut || !b.set.Limits.Cancel || b.set.Classes[q.class].Effect != Safe {
+	if b.set.Stage > 0 && !s.cut || !b.set.Limits.Cancel || b.set.Classes[q.class].Effect != Safe || q.once {
 		return 0
 	}
 	return patience * b.classes[q.class].latency
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -20,7 +20,6 @@
 	lingerTime   = 500 * time.Millisecond
 	lingerBytes  = 256 << 10 // read and dropped of a caller that still sends, for an error to reach it
 	acceptPause  = 5 * time.Millisecond
-	drainPoll    = 5 * time.Millisecond
 	spareCallers = 8 // so many below the limit, quiet connections start to give way
 )
 
@@ -43,7 +42,7 @@
 func newCallers(most int) *callers { return &callers{most: most, quiet: list.New()} }
 
 // serve accepts connections until the listener is closed; each is served by talk.
-func (cs *callers) serve(ln net.Listener, talk func(*caller)) error {
+func (cs *callers) serve(ln net.Listener, talk func(*caller), conns *sync.WaitGroup) error {
 	for {
 		conn, err := ln.Accept()
 		switch {
@@ -54,10 +53,10 @@
 			continue
 		}
 		if c := cs.add(conn); c != nil {
-			go func() {
+			conns.Go(func() {
 				defer cs.remove(c)
 				talk(c)
-			}()
+			})
 		}
 	}
 }
@@ -103,40 +102,55 @@
 	c.quiet = cs.quiet.PushBack(c)
 }
 
-// drain closes what has no open request, until nothing is left or the time is up.
-func (cs *callers) drain(until time.Time) {
-	for left := 1; left > 0 && time.Now().Before(until); {
-		cs.mu.Lock()
-		for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
-			cs.quiet.Remove(e).(*caller).Close()
-		}
-		left = cs.open
-		cs.mu.Unlock()
-		time.Sleep(drainPoll)
-	}
+// resize sets another limit; what is over it gives way or ends by itself.
+func (cs *callers) resize(most int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.most = most
 }
 
 // answer writes a final answer. The length goes first, so that a body that breaks off shows.
 func (c *caller) answer(a *answer, last bool) error {
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), len(a.body))
+	length := int64(len(a.body))
+	if a.bare {
+		length = a.length
+	}
+	head := a.head(length, last)
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := (&net.Buffers{head.Bytes(), a.body}).WriteTo(c.Conn)
+	return err
+}
+
+// head is the head of an answer with a body of a length, chunked, or untold for one that has none by its status.
+func (a *answer) head(length int64, last bool) *bytes.Buffer {
+	head := &bytes.Buffer{}
+	fmt.Fprintf(head, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	switch {
+	case length >= 0:
+		fmt.Fprintf(head, "Content-Length: %d\r\n", length)
+	case length == chunked:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	}
 	if a.retryAfter > 0 {
-		fmt.Fprintf(&head, "Retry-After: %s\r\n", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
+		fmt.Fprintf(head, "Retry-After: %s\r\n", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
 	}
 	if last {
 		head.WriteString("Connection: close\r\n")
 	}
-	a.header.Write(&head)
+	a.header.Write(head)
 	head.WriteString("\r\n")
-	c.SetWriteDeadline(time.Now().Add(writeTime))
-	_, err := (&net.Buffers{head.Bytes(), a.body}).WriteTo(c.Conn)
-	return err
+	return head
 }
 
 // turnAway answers what cannot be taken and ends the connection: nothing behind it can be read for sure. What its
 // caller still sends is dropped for a while, as a close with bytes unread could overtake the answer.
 func (c *caller) turnAway(status int, complaint string) {
-	if c.answer(&answer{status: status, body: []byte(complaint + "\n")}, true) != nil {
+	c.giveAway(&answer{status: status, body: []byte(complaint + "\n")})
+}
+
+// giveAway gives an answer to a caller that may still send, and ends the connection likewise.
+func (c *caller) giveAway(a *answer) {
+	if c.answer(a, true) != nil {
 		return
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -1,14 +1,10 @@
 package sidecar
 
 import (
-	"fmt"
-	"hash/fnv"
 	"io"
-	"math"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,25 +21,46 @@
 	lastWrites = 150 * time.Millisecond  // for the answers that are given then
 )
 
-// front takes requests from callers and answers them.
+// front takes requests from callers and answers them. What a request is, and which loop decides on it, is told by
+// intake: one for the platform's protocol, one for the listeners of an operator file.
 type front struct {
-	loop     *loop
+	loop     *loop // the platform's only one
 	set      *whinknot.Settings
 	classes  map[string]uint16
 	tenants  map[string]uint16
+	intake   func(*caller, *message) taken
+	usable   func() bool // there is something to send requests to
 	callers  *callers
+	conns    sync.WaitGroup
 	draining atomic.Bool   // not ready any more
 	ending   atomic.Bool   // every answer closes its connection
 	accept   time.Duration // from SIGTERM until no new connection is taken
 	quiet    time.Duration // see quietTime
 }
 
-// newFront makes a front for at most so many callers' connections.
+// taken is what an intake makes of the head of a request: a call and the loop that decides on it, or an answer.
+type taken struct {
+	call      *call
+	loop      *loop
+	status    int // with no call: the head cannot be taken, and its connection ends
+	complaint string
+	fixed     *answer // or this is the answer, and the connection goes on
+	streams   *bodies // bodies over maxBody may stream, within these bounds; nil where they may not
+	done      func()  // to be called once the request is over; may be nil
+}
+
+// newFront makes the platform's front for at most so many callers' connections.
 func newFront(l *loop, set *whinknot.Settings, most int) *front {
 	f := &front{
 		loop: l, set: set, classes: map[string]uint16{}, tenants: map[string]uint16{}, accept: acceptTime,
 		quiet: quietTime, callers: newCallers(most),
 	}
+	f.intake = f.platform
+	f.usable = func() bool {
+		usable := 0
+		l.ask(func() { usable = l.usable })
+		return usable > 0
+	}
 	for i, c := range set.Classes {
 		f.classes[c.Name] = uint16(i)
 	}
@@ -54,7 +71,7 @@
 }
 
 // serve takes requests until the listener is closed.
-func (f *front) serve(ln net.Listener) error { return f.callers.serve(ln, f.talk) }
+func (f *front) serve(ln net.Listener) error { return f.callers.serve(ln, f.talk, &f.conns) }
 
 // talk serves one connection: a request, its answer, and so on, while both sides keep it.
 func (f *front) talk(c *caller) {
@@ -81,28 +98,62 @@
 			}
 			continue
 		}
-		waits := m.length != 0 && m.lists("Expect", "100-continue")
-		k, status, complaint := f.parse(m)
-		if k == nil {
-			c.turnAway(status, complaint)
-			return
-		}
-		if waits {
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // one that fails shows in the body
-		}
-		if k.out.body, err = readBody(c.reader, m.length); err != nil {
-			f.complain(c, err)
-			return
-		}
-		a, ok := f.have(c, k)
-		lasts = lasts && !f.ending.Load() && a.status/100 != 4
-		if !ok || c.answer(&a, !lasts) != nil {
+		if !f.one(c, &m, &lasts) {
 			return
 		}
-		f.callers.ends(c)
 	}
 }
 
+// one deals with one request whose head has been read, and tells whether its connection goes on, if lasts says so too.
+func (f *front) one(c *caller, m *message, lasts *bool) bool {
+	waits := m.length != 0 && m.lists("Expect", "100-continue")
+	t := f.intake(c, m)
+	if t.done != nil {
+		defer t.done()
+	}
+	switch {
+	case t.fixed != nil && (m.length == 0 || waits):
+		*lasts = *lasts && m.length == 0
+		return c.answer(t.fixed, !*lasts) == nil
+	case t.fixed != nil:
+		c.giveAway(t.fixed)
+		return false
+	case t.call == nil:
+		c.turnAway(t.status, t.complaint)
+		return false
+	}
+	k := t.call
+	if waits {
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // one that fails shows in the body
+	}
+	var err error
+	if t.streams != nil {
+		k.out.body, k.out.upload, err = t.streams.begin(c, m.length)
+	} else {
+		k.out.body, err = readBody(c.reader, m.length)
+	}
+	if err != nil {
+		f.complain(c, err)
+		return false
+	}
+	a, ok := f.have(c, &t)
+	if !ok {
+		return false
+	}
+	if up := k.out.upload; up != nil && !up.whole() { // its caller still sends: nothing behind can be read
+		c.giveAway(&a)
+		return false
+	}
+	*lasts = *lasts && !f.ending.Load() && (a.status/100 != 4 || k.out.open)
+	if a.rest != nil {
+		err = c.pass(&a, !*lasts)
+	} else {
+		err = c.answer(&a, !*lasts)
+	}
+	f.callers.ends(c)
+	return err == nil
+}
+
 // complain answers what cannot be read as a request. One that falls silent or breaks off is just closed.
 func (f *front) complain(c *caller, err error) {
 	_, broken := err.(net.Error)
@@ -114,17 +165,29 @@
 	}
 }
 
-// have gets the final answer to a request that has come whole; none if its caller leaves before.
-func (f *front) have(c *caller, k *call) (answer, bool) {
+// have gets the final answer to a request that has come whole, or whose body streams; none if its caller leaves before.
+func (f *front) have(c *caller, t *taken) (answer, bool) {
+	k, loop := t.call, t.loop
 	answered := make(chan answer, 1)
 	k.reply = func(a answer) {
 		answered <- a
 		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek
 	}
-	k.due(f.loop.clock(time.Now()))
+	if up := k.out.upload; up != nil {
+		k.reply = func(a answer) {
+			answered <- a
+			up.stop()
+		}
+	}
+	k.due(loop.clock(time.Now()))
 	c.SetReadDeadline(time.Time{})
 	f.callers.begins(c)
-	f.loop.post(func() { f.loop.take(k) })
+	loop.post(func() { loop.take(k) })
+	if up := k.out.upload; up != nil {
+		if a, ok, final := f.haveUpload(c, k, loop, answered); final {
+			return a, ok
+		}
+	}
 	_, err := c.reader.Peek(1) // its caller leaves, or sends a next request already
 	select {
 	case a := <-answered:
@@ -132,106 +195,57 @@
 	default:
 	}
 	if err != nil {
-		f.loop.post(func() { f.loop.gone(k) })
+		loop.post(func() { loop.gone(k) })
 		return answer{}, false
 	}
 	select {
 	case a := <-answered:
 		return a, true
-	case <-f.loop.ended:
+	case <-loop.ended:
 		return answer{}, false
 	}
 }
 
+// haveUpload waits until a streamed body is through, unless the call ends before.
+func (f *front) haveUpload(c *caller, k *call, loop *loop, answered chan answer) (a answer, ok, final bool) {
+	up := k.out.upload
+	select {
+	case a = <-answered:
+		loop.post(func() { loop.callOff(k) })
+		if up.wait(); up.err == nil {
+			return a, true, true
+		}
+	case <-up.done:
+		switch {
+		case up.err != nil:
+			loop.ask(func() { loop.gone(k) })
+		case !up.whole(): // its server did not take it all: the loop tells what follows
+			select {
+			case a = <-answered:
+				return a, true, true
+			case <-loop.ended:
+				return a, false, true
+			}
+		default:
+			up.settle()
+			return a, false, false
+		}
+	case <-loop.ended:
+		return a, false, true
+	}
+	f.complain(c, up.err) // what the caller sent cannot be read on
+	return a, false, true
+}
+
 // ready tells by a status whether requests are welcome: the loop runs, has a list to send by and is not ending.
 func (f *front) ready() int {
-	usable := 0
-	f.loop.ask(func() { usable = f.loop.usable })
-	if usable == 0 || f.draining.Load() {
+	if f.draining.Load() || !f.usable() {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
 }
 
-// single are the headers that a request is understood by; with two of one kind it could be read in two ways.
-var single = []string{"Host", "X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "Idempotency-Key", "Expect"}
-
-// parse checks the head of a request; of one that cannot be taken it tells why.
-func (f *front) parse(m message) (k *call, status int, complaint string) {
-	method, rest, _ := strings.Cut(m.first, " ")
-	uri, version, _ := strings.Cut(rest, " ")
-	path, _, _ := strings.Cut(strings.TrimPrefix(uri, "/"), "?")
-	first, _, _ := strings.Cut(path, "/")
-	if version != "HTTP/1.1" && version != "HTTP/1.0" || !strings.HasPrefix(uri, "/") || hasControl(uri) {
-		return nil, http.StatusBadRequest, "the request line cannot be read"
-	}
-	h := m.header
-	for _, name := range single {
-		if len(h[name]) > 1 {
-			return nil, http.StatusBadRequest, name + " comes twice"
-		}
-	}
-	name := h.Get("X-Class")
-	index, ok := f.classes[name]
-	if !ok || first != name {
-		return nil, http.StatusNotFound, "X-Class and the path name no class"
-	}
-	class := &f.set.Classes[index]
-	want := http.MethodPost
-	if class.Effect == whinknot.Safe {
-		want = http.MethodGet
-	}
-	switch {
-	case method != want:
-		return nil, http.StatusMethodNotAllowed, "requests of this class are " + want
-	case class.Effect == whinknot.Keyed && h.Get("Idempotency-Key") == "":
-		return nil, http.StatusBadRequest, "Idempotency-Key is missing"
-	case h.Get("X-Request-Id") == "":
-		return nil, http.StatusBadRequest, "X-Request-Id is missing"
-	case m.length > maxBody:
-		return nil, http.StatusRequestEntityTooLarge, "the body is over 64 KiB"
-	}
-	wait := class.GiveUp / 1000
-	if text := h.Get("X-Deadline"); text != "" {
-		left, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(left > 0) || math.IsInf(left, 0) {
-			return nil, http.StatusBadRequest, "X-Deadline is no time"
-		}
-		wait = min(wait, left)
-	}
-	hint, err := strconv.ParseFloat(h.Get("X-Cost-Hint"), 64)
-	if err != nil {
-		hint = 0
-	}
-	tenant, ok := f.tenants[h.Get("X-Tenant")]
-	if !ok {
-		tenant = uint16(len(f.tenants)) // one without a quota
-	}
-	k = &call{
-		event: whinknot.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
-		wait:  1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait),
-		id:    h.Get("X-Request-Id"),
-	}
-	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
-		sum := fnv.New64a()
-		io.WriteString(sum, cookie.Value)
-		k.event.Key = sum.Sum64()
-	}
-	k.out = outgoing{start: fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", method, uri, h.Get("Host")), header: endToEnd(h)}
-	h.Del("Host")
-	return k, 0, ""
-}
-
-// drain ends the front in order: it goes on taking requests while new connections may come, and on those that it has
-// for as long as what comes there can be finished; then it finishes what was taken. What is left at last is given up.
+// drain ends the platform's front in order, see drainFronts.
 func (f *front) drain(ln net.Listener, last time.Duration) {
-	begun := time.Now()
-	f.draining.Store(true)
-	time.Sleep(f.accept)
-	ln.Close()
-	time.Sleep(time.Until(begun.Add(last - finishTime)))
-	f.ending.Store(true)
-	timer := time.AfterFunc(time.Until(begun.Add(last)), func() { f.loop.post(f.loop.giveUpAll) })
-	defer timer.Stop()
-	f.callers.drain(begun.Add(last + lastWrites))
+	drainFronts([]gate{{f, ln}}, f.callers, f.accept, last, func() { f.loop.post(f.loop.giveUpAll) })
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,6 +32,7 @@
 	mayRun   bool // an attempt that is over may have run
 	open     int  // attempts out
 	attempts []*attempt
+	failure  *answer // what a server said of a failure, last
 }
 
 // due tells the call when it arrived.
@@ -88,6 +89,8 @@
 	directory *directory
 	listed    map[uint32]bool // servers of the list, and whether they are ready
 	usable    int             // those that are
+
+	served, refused, failures uint64 // calls by their final answer
 }
 
 func newLoop(cfg *Config, up *upstream) (*loop, error) {
@@ -184,7 +187,7 @@
 	case whinknot.ActRefuse:
 		l.finish(c, answer{status: statusRefused, retryAfter: millis(a.After)})
 	case whinknot.ActFail:
-		l.finish(c, answer{status: statusFailed})
+		l.finish(c, c.failed())
 	case whinknot.ActCancel:
 		if c != nil && int(a.Attempt) < len(c.attempts) {
 			c.attempts[a.Attempt].callOff()
@@ -202,11 +205,13 @@
 
 // take begins a request that has come whole.
 func (l *loop) take(c *call) {
-	if l.ids[c.id] {
+	if c.id != "" && l.ids[c.id] {
 		c.reply(answer{status: http.StatusConflict, body: []byte("a request with this X-Request-Id is open\n")})
 		return
 	}
-	l.ids[c.id] = true
+	if c.id != "" {
+		l.ids[c.id] = true
+	}
 	l.lastID++
 	c.event.Kind, c.event.Request = whinknot.EvRequest, l.lastID
 	l.calls[l.lastID] = c
@@ -224,12 +229,18 @@
 	a, e, number := newAttempt(begin), l.up.find(server), len(c.attempts)
 	c.attempts = append(c.attempts, a)
 	c.open++
+	if c.out.open {
+		a.began = func(got *answer) {
+			took := c.out.took(sent)
+			l.post(func() { l.began(c, number, server, got, took) })
+		}
+	}
 	go func() {
 		outcome, got := whinknot.NotSent, (*answer)(nil)
 		if e != nil {
 			outcome, got = l.up.do(a, e, &c.out, l.time(until))
 		}
-		took := time.Since(sent)
+		took := c.out.took(sent)
 		l.post(func() { l.closed(c, number, server, outcome, got, took) })
 	}()
 }
@@ -238,22 +249,68 @@
 func (l *loop) closed(c *call, number int, server uint32, o whinknot.Outcome, got *answer, took time.Duration) {
 	c.open--
 	c.mayRun = c.mayRun || o != whinknot.Full && o != whinknot.ConnectFailed && o != whinknot.NotSent
-	if got != nil {
+	if got != nil && got.own {
+		c.failure = got
+	} else if got != nil {
 		l.finish(c, *got)
 	}
 	l.handle(&whinknot.Event{
 		Kind: whinknot.EvOutcome, Request: c.event.Request, Attempt: uint16(number), Server: server,
-		Outcome: o, Took: float64(took.Microseconds()) / 1000, Done: c.ended,
+		Outcome: o, Took: float64(took.Microseconds()) / 1000, Done: c.ended, Spent: c.out.spent(),
 	})
 	l.release(c)
 }
 
+// began hears that an answer has begun whose body streams: the attempt belongs to its caller now.
+func (l *loop) began(c *call, number int, server uint32, got *answer, took time.Duration) {
+	if c.ended {
+		c.attempts[number].callOff()
+		return
+	}
+	l.handle(&whinknot.Event{
+		Kind: whinknot.EvFirst, Request: c.event.Request, Attempt: uint16(number), Server: server,
+		Took: float64(took.Microseconds()) / 1000,
+	})
+	l.finish(c, *got)
+}
+
+// took is how long an attempt has lasted; the time that its caller took to send a streamed body is not the server's.
+func (out *outgoing) took(sent time.Time) time.Duration {
+	if up := out.upload; up != nil {
+		select {
+		case <-up.done:
+			return time.Since(up.ended)
+		default:
+		}
+	}
+	return time.Since(sent)
+}
+
+// spent tells whether the request cannot be sent again.
+func (out *outgoing) spent() bool { return out.upload != nil && out.upload.isClaimed() }
+
+// failed is the final answer of a call that has failed: the word of a server, where there is one.
+func (c *call) failed() answer {
+	if c != nil && c.failure != nil {
+		return *c.failure
+	}
+	return answer{status: statusFailed}
+}
+
 // finish gives the one final answer.
 func (l *loop) finish(c *call, a answer) {
 	if c == nil || c.ended {
 		return
 	}
 	c.ended = true
+	switch {
+	case a.status == statusRefused || a.status == http.StatusTooManyRequests:
+		l.refused++
+	case a.status >= 500:
+		l.failures++
+	default:
+		l.served++
+	}
 	c.reply(a)
 	l.release(c)
 }
@@ -264,7 +321,9 @@
 		return
 	}
 	delete(l.calls, c.event.Request)
-	delete(l.ids, c.id)
+	if c.id != "" {
+		delete(l.ids, c.id)
+	}
 	if c.backstop != nil && c.backstop.place >= 0 {
 		heap.Remove(&l.agenda, c.backstop.place)
 	}
@@ -273,6 +332,7 @@
 // gone hears that the client has left: nothing more is owed, and nothing more goes out.
 func (l *loop) gone(c *call) {
 	if c.ended {
+		l.callOff(c) // its answer may have been streaming
 		return
 	}
 	c.ended = true
@@ -294,7 +354,7 @@
 	if c.ended {
 		return
 	}
-	a := answer{status: statusFailed}
+	a := c.failed()
 	if !c.mayRun && c.open == 0 {
 		a = answer{status: statusRefused, retryAfter: retryAfter}
 	}
--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -143,29 +143,41 @@
 // readAnswer reads an endpoint's final answer whole and tells its status. An answer that does not tell its length
 // may have been cut off: it is none.
 func readAnswer(r *bufio.Reader) (status int, m message, body []byte, err error) {
+	if status, m, err = readAnswerHead(r); err != nil || bodiless(status) {
+		return status, m, nil, err
+	}
+	if m.length == untold {
+		return 0, m, nil, errLength
+	}
+	body, err = readBody(r, m.length)
+	return status, m, body, err
+}
+
+// bodiless tells whether answers of a status have no body (RFC 9110, 6.4.1).
+func bodiless(status int) bool {
+	return status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// readAnswerHead reads up to the end of the head of an endpoint's final answer.
+func readAnswerHead(r *bufio.Reader) (status int, m message, err error) {
 	for range maxInterim {
 		if m, err = readMessage(r); err != nil {
-			return 0, m, nil, err
+			return 0, m, err
 		}
 		version, rest, _ := strings.Cut(m.first, " ")
 		code, _, _ := strings.Cut(rest, " ")
 		status, err = strconv.Atoi(code)
 		switch {
 		case err != nil || len(code) != 3 || version != "HTTP/1.1" && version != "HTTP/1.0":
-			return 0, m, nil, errHead
+			return 0, m, errHead
 		case status < 100 || status == http.StatusSwitchingProtocols:
-			return 0, m, nil, errHead
+			return 0, m, errHead
 		case status < 200:
 			continue
-		case status == http.StatusNoContent || status == http.StatusNotModified:
-			return status, m, nil, nil
-		case m.length == untold:
-			return 0, m, nil, errLength
 		}
-		body, err = readBody(r, m.length)
-		return status, m, body, err
+		return status, m, nil
 	}
-	return 0, m, nil, errTooLong
+	return 0, m, errTooLong
 }
 
 // lasts tells whether the peer keeps the connection open behind this message.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"slices"
 	"strings"
@@ -33,14 +35,23 @@
 	start  string // request line and Host
 	header http.Header
 	body   []byte
+	upload *upload       // what follows the body; nil for nothing
+	open   bool          // it came by an operator's listener: answers of all statuses pass, and long ones stream
+	bare   bool          // its answer has no body, as of HEAD
+	bounds *bodies       // of an answer that streams
+	within time.Duration // from the end of a streamed body to the answer
 }
 
-// answer is a whole answer for a caller.
+// answer is an answer for a caller, whole but for what streams.
 type answer struct {
 	status     int
 	header     http.Header
 	body       []byte
 	retryAfter time.Duration
+	rest       *flow // the body goes on
+	length     int64 // of a body that goes on, or that a bare answer tells; or chunked or untold
+	bare       bool  // there is no body, whatever its length
+	own        bool  // a server's own word of a failure, kept for when the call has failed
 }
 
 // endpoint is one server of the list and the idle connections to it. Its fields are guarded by upstream.mu.
@@ -64,6 +75,7 @@
 	dialTimeout, idleLimit time.Duration
 	most                   int           // connections at once
 	grace                  time.Duration // from the decision on an attempt to its first byte; 0 = any
+	ledger                 *ledger       // counts the connections of all pools; nil where there is one pool
 
 	mu        sync.Mutex
 	endpoints map[uint32]*endpoint
@@ -120,8 +132,8 @@
 
 func (u *upstream) closeIdle(e *endpoint) {
 	for _, c := range e.idle {
-		u.open--
 		c.Close()
+		u.closed()
 	}
 	e.idle = nil
 }
@@ -137,13 +149,14 @@
 type attempt struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	begin  time.Time // latest time for its first byte; zero for any
+	begin  time.Time     // latest time for its first byte; zero for any
+	began  func(*answer) // takes an answer whose body streams
 	mu     sync.Mutex
 	off    bool // called off
 }
 
 func newAttempt(begin time.Time) *attempt {
-	a := &attempt{begin: begin}
+	a := &attempt{begin: begin, began: func(*answer) {}}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
 }
@@ -171,10 +184,17 @@
 		if a.ctx.Err() != nil {
 			return whinknot.Cancelled, nil
 		}
+		if u.ledger != nil && errors.Is(err, errNoRoom) {
+			return whinknot.NotSent, nil // no fault of the server: another pool gives its descriptors back first
+		}
 		return whinknot.ConnectFailed, nil
 	}
 	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	outcome, got, keep := exchange(a, c, out, until)
+	if got != nil && got.rest != nil {
+		outcome, keep = u.pass(a, c, got)
+		got = nil // its caller has it
+	}
 	if !stop() || !keep {
 		u.discard(c)
 	} else {
@@ -191,20 +211,45 @@
 	text.WriteString(out.start)
 	out.header.WriteSubset(&text, map[string]bool{"X-Deadline": true})
 	fmt.Fprintf(&text, "X-Deadline: %.3f\r\n", max(time.Until(until), 0).Seconds())
-	if len(out.body) > 0 || !strings.HasPrefix(out.start, "GET ") {
+	switch {
+	case out.upload != nil && out.upload.length == chunked:
+		text.WriteString("Transfer-Encoding: chunked\r\n")
+	case out.upload != nil:
+		fmt.Fprintf(&text, "Content-Length: %d\r\n", out.upload.length)
+	case len(out.body) > 0 || !strings.HasPrefix(out.start, "GET "):
 		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(out.body))
 	}
 	text.WriteString("\r\n")
-	text.Write(out.body)
+	if out.upload == nil {
+		text.Write(out.body)
+	}
 	if !a.claim() {
 		return whinknot.Cancelled, nil, false
 	}
 	if !a.begin.IsZero() && time.Now().After(a.begin) {
 		return whinknot.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
 	}
-	if n, err := c.Write(text.Bytes()); n < text.Len() {
+	if up := out.upload; up != nil {
+		if !up.claim() {
+			return whinknot.NotSent, nil, true
+		}
+		if err := up.send(text.Bytes(), out.body, c); up.err != nil {
+			return whinknot.Cancelled, nil, false // its caller's fault; what came cannot have run
+		} else if err != nil {
+			return brokenOff(a, err, whinknot.ConnectFailed), nil, false
+		}
+		if by := time.Now().Add(out.within); by.Before(until) {
+			c.SetDeadline(by)
+			if a.ctx.Err() != nil {
+				return whinknot.Cancelled, nil, false
+			}
+		}
+	} else if n, err := c.Write(text.Bytes()); n < text.Len() {
 		return brokenOff(a, err, whinknot.ConnectFailed), nil, false
 	}
+	if out.open {
+		return openAnswer(a, c, out)
+	}
 	// What cannot be read whole may have run, whatever its head says.
 	status, m, body, err := readAnswer(c.reader)
 	if err != nil {
@@ -223,6 +268,91 @@
 	return whinknot.Error, nil, keep
 }
 
+// openAnswer reads an answer for an operator's listener. What it says of the request is as in exchange; statuses that
+// the platform's protocol does not know pass, and a long body streams once its head and first part have come.
+func openAnswer(a *attempt, c *conn, out *outgoing) (whinknot.Outcome, *answer, bool) {
+	status, m, err := readAnswerHead(c.reader)
+	if err != nil {
+		return brokenOff(a, err, whinknot.Reset), nil, false
+	}
+	got := &answer{status: status, length: m.length, bare: out.bare || bodiless(status)}
+	if bodiless(status) {
+		got.length = untold
+	}
+	var rest io.Reader
+	switch {
+	case got.bare:
+	case m.length == untold: // it may have been cut off
+		return whinknot.Reset, nil, false
+	case m.length == chunked:
+		got.body, rest, err = firstPartOf(httputil.NewChunkedReader(c.reader), c.reader)
+	case m.length > maxBody:
+		rest = &exactly{c.reader, m.length}
+	default:
+		got.body, err = readBody(c.reader, m.length)
+	}
+	if err != nil {
+		return brokenOff(a, err, whinknot.Reset), nil, false
+	}
+	keep := rest == nil && m.lasts() && c.reader.Buffered() == 0 && stillOpen(c.Conn)
+	notRun := m.header.Get("X-Not-Run") == "1"
+	got.header = endToEnd(m.header)
+	switch {
+	case notRun && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout):
+		return whinknot.Full, nil, keep && rest == nil
+	case status >= 500 || status == http.StatusTooManyRequests: // it may have run, whatever the status promises
+		if rest != nil || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+			return whinknot.Error, nil, keep
+		}
+		got.own = true
+		return whinknot.Error, got, keep
+	}
+	if rest != nil {
+		end := time.Now().Add(out.bounds.total)
+		got.rest = &flow{from: rest, conn: c, attempt: a, idle: out.bounds.idle, end: end, done: make(chan error, 1)}
+	}
+	if status >= 400 && rest == nil {
+		return whinknot.Cancelled, got, keep
+	}
+	return whinknot.OK, got, keep
+}
+
+// firstPartOf reads a chunked body whole, if it is short, or its first part and gives the rest.
+func firstPartOf(body io.Reader, lines *bufio.Reader) ([]byte, io.Reader, error) {
+	rest := &trailed{body, lines}
+	first := make([]byte, 0, firstPart)
+	for len(first) < maxBody {
+		if len(first) == cap(first) {
+			first = append(make([]byte, 0, min(4*cap(first), maxBody)), first...)
+		}
+		n, err := rest.Read(first[len(first):cap(first)])
+		first = first[:len(first)+n]
+		if err == io.EOF {
+			return first, nil, nil
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+	}
+	return first, rest, nil
+}
+
+// trailed reads a chunked body and the trailers behind it, which nobody asked for.
+type trailed struct {
+	body  io.Reader
+	lines *bufio.Reader
+}
+
+func (t *trailed) Read(p []byte) (int, error) {
+	n, err := t.body.Read(p)
+	if err == io.EOF {
+		if _, bad := readLines(t.lines); bad != nil {
+			return n, bad
+		}
+	}
+	return n, err
+}
+
 // brokenOff names the outcome of an exchange that ended with an error: called off, out of time, or broken.
 // A request that was not written whole never ran, whatever stopped it.
 func brokenOff(a *attempt, err error, broken whinknot.Outcome) whinknot.Outcome {
@@ -256,7 +386,7 @@
 	raw, err := d.DialContext(ctx, "tcp", e.addr)
 	if err != nil {
 		u.mu.Lock()
-		u.open--
+		u.closed()
 		u.mu.Unlock()
 		return nil, fmt.Errorf("dial: %w", err)
 	}
@@ -285,36 +415,68 @@
 func (u *upstream) makeRoom() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.open >= u.most {
-		var oldest *endpoint
-		for _, e := range u.endpoints {
-			if len(e.idle) > 0 && (oldest == nil || e.idle[0].since.Before(oldest.idle[0].since)) {
-				oldest = e
-			}
-		}
-		if oldest == nil {
-			return false
-		}
-		u.closeOldest(oldest)
+	if u.open >= u.most && !u.closeOldestOfAll() {
+		return false
+	}
+	if !u.ledger.take() && !(u.closeOldestOfAll() && u.ledger.take()) {
+		return false
 	}
 	u.open++
 	return true
 }
 
+// closeOldestOfAll closes the connection that was idle longest; false if none is.
+func (u *upstream) closeOldestOfAll() bool {
+	var oldest *endpoint
+	for _, e := range u.endpoints {
+		if len(e.idle) > 0 && (oldest == nil || e.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = e
+		}
+	}
+	if oldest != nil {
+		u.closeOldest(oldest)
+	}
+	return oldest != nil
+}
+
+// resize sets another limit. Idle connections over it are closed; others end with their requests.
+func (u *upstream) resize(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for u.most = most; u.open > u.most && u.closeOldestOfAll(); {
+	}
+}
+
+// shut closes all idle connections and keeps none from now on.
+func (u *upstream) shut() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, e := range u.endpoints {
+		e.ready = false
+		u.closeIdle(e)
+	}
+}
+
 func (u *upstream) discard(c *conn) {
 	c.Close()
 	u.mu.Lock()
-	u.open--
+	u.closed()
 	u.mu.Unlock()
 }
 
+// closed counts one connection less.
+func (u *upstream) closed() {
+	u.open--
+	u.ledger.give()
+}
+
 // put keeps a connection for the next request, and has idle ones looked after while there are any.
 func (u *upstream) put(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !c.home.ready {
 		c.Close()
-		u.open--
+		u.closed()
 		return
 	}
 	c.since = time.Now()
@@ -348,7 +510,7 @@
 func (u *upstream) closeOldest(e *endpoint) {
 	e.idle[0].Close()
 	e.idle = slices.Delete(e.idle, 0, 1)
-	u.open--
+	u.closed()
 }
 
 // stillOpen looks, without waiting, whether the peer has closed an idle connection or sent what nobody asked for.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -67,7 +67,7 @@
 	return u.do(newAttempt(time.Time{}), u.find(1), get(), time.Now().Add(wait))
 }
 
-func pool(addr string, most int) *upstream {
+func pooled(addr string, most int) *upstream {
 	u := newUpstream(whinknot.Limits{}, 0, most)
 	u.list(1, addr, 0, whinknot.Ready)
 	return u
@@ -115,7 +115,7 @@
 				io.WriteString(conn, c.does)
 				return false
 			})
-			got, a := attemptOn(pool(ln.Addr().String(), 4), long)
+			got, a := attemptOn(pooled(ln.Addr().String(), 4), long)
 			final := c.want == whinknot.OK || c.want == whinknot.Cancelled
 			if got != c.want || (a != nil) != final {
 				t.Fatalf("outcome %v with answer %v, want %v", got, a, c.want)
@@ -129,14 +129,14 @@
 		release := make(chan struct{})
 		defer close(release)
 		ln := script(t, func(int, net.Conn, *http.Request) bool { <-release; return false })
-		if got, _ := attemptOn(pool(ln.Addr().String(), 4), time.Second); got != whinknot.Timeout {
+		if got, _ := attemptOn(pooled(ln.Addr().String(), 4), time.Second); got != whinknot.Timeout {
 			t.Errorf("outcome %v, want a timeout", got)
 		}
 	})
 	t.Run("refused", func(t *testing.T) {
 		ln := listen(t)
 		ln.Close()
-		if got, _ := attemptOn(pool(ln.Addr().String(), 4), long); got != whinknot.ConnectFailed {
+		if got, _ := attemptOn(pooled(ln.Addr().String(), 4), long); got != whinknot.ConnectFailed {
 			t.Errorf("outcome %v, want a failed connect", got)
 		}
 	})
@@ -153,7 +153,7 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
-	u := pool(ln.Addr().String(), 4)
+	u := pooled(ln.Addr().String(), 4)
 	if got, _ := attemptOn(u, long); got != whinknot.OK {
 		t.Fatalf("first outcome %v", got)
 	}
@@ -177,7 +177,7 @@
 		}
 		return n > 0
 	})
-	u := pool(ln.Addr().String(), 4)
+	u := pooled(ln.Addr().String(), 4)
 	attemptOn(u, long)
 	close(kept)
 	<-closed
@@ -200,7 +200,7 @@
 func TestCalledOffBeforeWriting(t *testing.T) {
 	requests := make(chan struct{}, 1)
 	ln := script(t, func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false })
-	u := pool(ln.Addr().String(), 4)
+	u := pooled(ln.Addr().String(), 4)
 	c, err := u.connect(t.Context(), u.find(1), time.Now().Add(long))
 	if err != nil {
 		t.Fatal(err)
@@ -225,7 +225,7 @@
 		left <- err
 		return false
 	})
-	u := pool(ln.Addr().String(), 4)
+	u := pooled(ln.Addr().String(), 4)
 	a := newAttempt(time.Time{})
 	go func() { <-came; a.callOff() }()
 	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != whinknot.Cancelled {
@@ -243,7 +243,7 @@
 func TestLateAttemptStaysIn(t *testing.T) {
 	requests := make(chan struct{}, 1)
 	ln := script(t, func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false })
-	u := pool(ln.Addr().String(), 4)
+	u := pooled(ln.Addr().String(), 4)
 	a := newAttempt(time.Now().Add(-time.Millisecond))
 	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != whinknot.ConnectFailed {
 		t.Errorf("outcome %v", got)
@@ -269,7 +269,7 @@
 		return true
 	}
 	first, second := script(t, serve), script(t, serve)
-	u := pool(first.Addr().String(), 1)
+	u := pooled(first.Addr().String(), 1)
 	u.list(2, second.Addr().String(), 0, whinknot.Ready)
 	attemptOn(u, long)
 	if len(u.find(1).idle) != 1 {
@@ -306,7 +306,7 @@
 		"moved":     func(u *upstream) { u.list(1, "127.0.0.1:1", 0, whinknot.Ready) },
 		"closed":    func(u *upstream) { u.closeAll(1) },
 	} {
-		u := pool(addr, 4)
+		u := pooled(addr, 4)
 		attemptOn(u, long)
 		if u.open != 1 {
 			t.Fatalf("%s: %d connections to begin with", name, u.open)
@@ -323,7 +323,7 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
-	u := pool(ln.Addr().String(), 4)
+	u := pooled(ln.Addr().String(), 4)
 	u.idleLimit = 20 * time.Millisecond
 	attemptOn(u, long)
 	for end := time.Now().Add(long); ; time.Sleep(time.Millisecond) {
@@ -351,7 +351,7 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		return false
 	})
-	attemptOn(pool(ln.Addr().String(), 4), long-10*time.Millisecond)
+	attemptOn(pooled(ln.Addr().String(), 4), long-10*time.Millisecond)
 	if got, want := <-seen, "GET /browse/x?q=%20 backend.local [1] []"; got != want {
 		t.Errorf("request %q, want %q", got, want)
 	}
