Run several pools, routes and listeners under an operator file, in generations

milletmast serve takes an operator file: N listeners, M pools each with a decision module, loop, connections and source of its own, and a share of the descriptors that a ledger holds to the limit. SIGHUP builds the next generation beside the one in force and swaps at once; requests stay with the generation that took them, pools that did not change keep module, measurements and connections, and listeners come and go without dropping what was accepted. check, route, diff and demo work with such a file without traffic. RELAY_CONFIG alone is the platform's program as before.

--- /dev/null
+++ b/cmd/milletmast/command.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"whinknot/internal/demo"
+	"whinknot/internal/operator"
+	"whinknot/internal/sidecar"
+)
+
+// command is the tree of subcommands.
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "milletmast",
+		Short: "Balance requests over pools of servers by SMACE credits",
+		Long: `milletmast takes requests, routes each to a pool of servers and has the pool's decision module choose the server,
+when to try again and when to refuse.
+
+With RELAY_CONFIG set and no arguments it is the platform's program. The subcommands work with an operator file
+(example: deploy/operator.toml). They exit 0, or 1 with what is wrong on standard error.`,
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return errors.New("RELAY_CONFIG is not set and no subcommand is given: see milletmast --help")
+		},
+	}
+	root.AddCommand(serveCommand(), checkCommand(), routeCommand(), diffCommand(), demoCommand())
+	return root
+}
+
+// fileFlag adds the flag that names an operator file.
+func fileFlag(cmd *cobra.Command, path *string) {
+	cmd.Flags().StringVarP(path, "file", "f", "", "the operator file")
+	cmd.MarkFlagRequired("file")
+}
+
+func checkCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use: "check -f FILE", Short: "Check an operator file and tell all that is wrong in it", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := loadFile(cmd, path)
+			if err != nil {
+				return err
+			}
+			callers, servers := cfg.Descriptors()
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: listeners=%d pools=%d routes=%d hash=%s connections: callers=%d servers=%d\n",
+				path, len(cfg.Listeners), len(cfg.Pools), len(cfg.Routes), cfg.Hash[:12], callers, servers)
+			return nil
+		},
+	}
+	fileFlag(cmd, &path)
+	return cmd
+}
+
+// loadFile reads an operator file; what is wrong in it goes to standard error, a line each.
+func loadFile(cmd *cobra.Command, path string) (*operator.Config, error) {
+	cfg, err := operator.Load(path)
+	var all operator.Errors
+	if errors.As(err, &all) {
+		fmt.Fprintln(cmd.ErrOrStderr(), all)
+		return nil, fmt.Errorf("%s: errors: %d", path, len(all))
+	}
+	return cfg, err
+}
+
+func routeCommand() *cobra.Command {
+	var path, listener string
+	var headers []string
+	cmd := &cobra.Command{
+		Use:   "route -f FILE METHOD URL [-H 'Name: value']...",
+		Short: "Tell where a request would go, without sending it",
+		Long: `Prints one line: pool=NAME class=NAME route=NAME path=PATH for a request that goes to a pool, status=404 for one that
+no route matches, status=301 location=URL or status=CODE for a fixed answer, status=400 for a request that is not taken.`,
+		Example: "  milletmast route -f deploy/operator.toml GET http://a.stock.example.org/v1/items\n" +
+			"  milletmast route -f deploy/operator.toml POST /plan/7 -H 'Host: shop.example.org'",
+		Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			cfg, err := loadFile(cmd, path)
+			if err != nil {
+				return err
+			}
+			if listener == "" {
+				listener = cfg.Listeners[0].Name
+			}
+			table := cfg.Tables[listener]
+			if table == nil {
+				return fmt.Errorf("%s: there is no listener %q", path, listener)
+			}
+			header := http.Header{}
+			for _, h := range headers {
+				name, value, ok := strings.Cut(h, ":")
+				if !ok || strings.TrimSpace(name) == "" {
+					return fmt.Errorf("-H %q: write it as 'Name: value'", h)
+				}
+				header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), sidecar.Explain(table, args[0], args[1], header))
+			return nil
+		},
+	}
+	fileFlag(cmd, &path)
+	cmd.Flags().StringArrayVarP(&headers, "header", "H", nil, "a header of the request, as 'Name: value'; may come again")
+	cmd.Flags().StringVar(&listener, "listener", "", "the listener at which it comes (default: the first of the file)")
+	return cmd
+}
+
+func diffCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use: "diff -f OLD NEW", Short: "List what a reload from one operator file to another would change", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			from, err := loadFile(cmd, path)
+			if err != nil {
+				return err
+			}
+			to, err := loadFile(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			changes := operator.Diff(from, to)
+			for _, c := range changes {
+				fmt.Fprintln(cmd.OutOrStdout(), c)
+			}
+			if len(changes) == 0 {
+				fmt.Fprintln(cmd.OutOrStdout(), "no changes")
+			}
+			return nil
+		},
+	}
+	fileFlag(cmd, &path)
+	return cmd
+}
+
+func demoCommand() *cobra.Command {
+	var o demo.Options
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a sidecar over stand-in servers with a light load, and show what it does",
+		Long: `Starts in one process, with no file, a sidecar over stand-in servers of two pools, one of them slow and one that
+restarts, and a light load. Prints the address and a curl line, and then a table of pools and servers, each second.
+Ends at an interrupt, or by itself after --for, with a summary.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := interrupted(cmd.Context())
+			defer stop()
+			o.Out, o.Live = cmd.OutOrStdout(), isTerminal(os.Stdout)
+			return demo.Run(ctx, o)
+		},
+	}
+	cmd.Flags().DurationVar(&o.For, "for", 0, "end by itself after this time (default: at an interrupt)")
+	cmd.Flags().StringVar(&o.Address, "address", "127.0.0.1:0", "where the sidecar listens")
+	cmd.Flags().IntVar(&o.Rate, "rate", 100, "requests a second")
+	cmd.Flags().DurationVar(&o.Every, "every", time.Second, "between two tables")
+	return cmd
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/cmd/milletmast/command_test.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+
+	"whinknot/internal/standin"
+)
+
+// play runs a subcommand in this process and gives what it prints.
+func play(t *testing.T, args ...string) (out, complaints string, err error) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	cmd := command()
+	cmd.SetArgs(args)
+	cmd.SetOut(&stdout)
+	cmd.SetErr(&stderr)
+	err = cmd.Execute()
+	return stdout.String(), stderr.String(), err
+}
+
+const example = "../../deploy/operator.toml"
+
+// edited is a copy of the example with some text replaced.
+func edited(t *testing.T, pairs ...string) string {
+	t.Helper()
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(strings.NewReplacer(pairs...).Replace(string(text))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestCheck(t *testing.T) {
+	if out, _, err := play(t, "check", "-f", example); err != nil || !strings.Contains(out, "listeners=1 pools=2 routes=6") {
+		t.Errorf("printed %q, %v", out, err)
+	}
+	bad := edited(t, `effect = "safe"`, `effect = "mild"`, `pool = "stock"`, `pool = "stok"`, `:8080"`, `"`)
+	out, complaints, err := play(t, "check", "-f", bad)
+	if err == nil || out != "" || strings.Count(complaints, "operator.toml:") != 4 { // two classes are safe
+		t.Errorf("printed %q and %q, %v, want four errors", out, complaints, err)
+	}
+	if _, _, err := play(t, "check"); err == nil || !strings.Contains(err.Error(), "file") {
+		t.Errorf("no file: %v", err)
+	}
+	if _, _, err := play(t, "check", "-f", filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a file that is not there has passed")
+	}
+}
+
+func TestRoute(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"GET", "/items/7?a=b"}, "pool=box class=browse route=browse path=/items/7"},
+		{[]string{"POST", "http://shop.example.org:8080//plan/./7"}, "pool=box class=plan-save route=plan-save path=/plan/7"},
+		{[]string{"GET", "http://eu.stock.example.org/v1/items"}, "pool=stock class=look route=stock path=/items"},
+		{[]string{"GET", "/v1/items", "-H", "Host: eu.stock.example.org", "-H", "X-Preview: 1"}, "pool=box class=browse route=browse path=/v1/items"},
+		{[]string{"DELETE", "/items"}, "status=404"},
+		{[]string{"GET", "http://h/shop/x?y"}, "status=301 location=https://h/shop/x?y"},
+		{[]string{"GET", "/robots.txt"}, "status=200"},
+		{[]string{"GET", "/a%2Fb"}, "status=400"},
+	} {
+		out, _, err := play(t, append([]string{"route", "-f", example}, c.args...)...)
+		if err != nil || out != c.want+"\n" {
+			t.Errorf("%v: %q, %v, want %q", c.args, out, err, c.want)
+		}
+	}
+	if _, _, err := play(t, "route", "-f", example, "GET", "/", "--listener", "none"); err == nil {
+		t.Error("a listener that is not there has a route")
+	}
+}
+
+func TestDiff(t *testing.T) {
+	out, _, err := play(t, "diff", "-f", example, edited(t, `"127.0.0.1:9101"`, `"127.0.0.1:9102"`, `name = "robots"`, `name = "bots"`))
+	want := "pool stock: changed (server: 1 -> 1 entries): measurements and connections are kept\nroute bots: added\nroute robots: removed\n"
+	if err != nil || out != want {
+		t.Errorf("printed %q, %v, want %q", out, err, want)
+	}
+	if out, _, err := play(t, "diff", "-f", example, example); err != nil || out != "no changes\n" {
+		t.Errorf("one file and itself: %q, %v", out, err)
+	}
+}
+
+func TestDemo(t *testing.T) {
+	out, _, err := play(t, "demo", "--for", "1500ms", "--every", "300ms", "--rate", "200")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`curl -i http://127\.0\.0\.1:\d+/items/7`, `shelf-3 +browse .* slow`, `desk-3 +plans .* restarts`,
+		`(?m)^browse +3 of 3 `, `ended after 1\.\d s`, `browse +served=[1-9]\d+ `, `plans +served=[1-9]\d* `} {
+		if !regexp.MustCompile(want).MatchString(out) {
+			t.Errorf("the demo does not print %s:\n%s", want, out)
+		}
+	}
+}
+
+// serve takes requests, loads its file again at SIGHUP, whole or not at all, and ends cleanly at SIGTERM.
+func TestServe(t *testing.T) {
+	server, err := standin.NewServer("one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	path := edited(t, `"127.0.0.1:8080"`, `"127.0.0.1:0"`, `"127.0.0.1:9001"`, `"`+server.Addr()+`"`)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(build(t), "serve", "-f", path)
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG=/nowhere") // of no matter to a subcommand
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	lines := bufio.NewScanner(stderr)
+	addr := logged(t, lines, `listening.* addr=(\S+)`)
+	get := func(path string) int {
+		res, err := http.Get("http://" + addr + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		io.Copy(io.Discard, res.Body)
+		return res.StatusCode
+	}
+	if got := get("/items"); got != 200 {
+		t.Errorf("status %d", got)
+	}
+	for _, c := range []struct {
+		text, signs string
+		status      int // of /new
+	}{
+		{strings.Replace(string(text), `exact = "/robots.txt"`, `exact = "/new"`, 1), `reloaded.* generation=(2)`, 200},
+		{strings.Replace(string(text), `effect = "safe"`, `effect = "mild"`, 1), `configuration kept.*(operator.toml:\d+: pool\[0\].class\[0\].effect)`, 200},
+		{strings.Replace(string(text), `exact = "/robots.txt"`, `exact = "/new"`, 1) + "# other\n", `reloaded.* generation=(3)`, 200},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+		logged(t, lines, c.signs)
+		if got := get("/new"); got != c.status {
+			t.Errorf("status %d after %s, want %d", got, c.signs, c.status)
+		}
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	for lines.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("SIGTERM: %v", err)
+	}
+}
+
+// With neither RELAY_CONFIG nor a subcommand the program says what it misses, in one line.
+func TestNothingToDo(t *testing.T) {
+	cmd := exec.Command(build(t))
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH")}
+	out, err := cmd.CombinedOutput()
+	if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "RELAY_CONFIG is not set") {
+		t.Errorf("%v, told %q", err, out)
+	}
+}
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -57,6 +57,7 @@
 	if l.Cores < 1 || l.Cores > 256 {
 		c.complainf("limits.cores", "%d is not within 1 and 256", l.Cores)
 	}
+	c.within("limits.drain", l.Drain, 100*time.Millisecond, maxTime)
 }
 
 // name checks a name and that it is the only one of its kind.
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -69,9 +69,10 @@
 
 // Limits are what the whole process may use.
 type Limits struct {
-	Memory  Size `toml:"memory"`
-	Sockets int  `toml:"sockets"` // file descriptors
-	Cores   int  `toml:"cores"`
+	Memory  Size     `toml:"memory"`
+	Sockets int      `toml:"sockets"` // file descriptors
+	Cores   int      `toml:"cores"`
+	Drain   Duration `toml:"drain"` // from SIGTERM until what is left is given up
 }
 
 // Listener is one address at which requests are taken.
@@ -179,7 +180,9 @@
 }
 
 // The defaults of what a file leaves out.
-func (l *Limits) setDefaults()   { *l = Limits{Memory: 128 << 20, Sockets: 1024, Cores: 1} }
+func (l *Limits) setDefaults() {
+	*l = Limits{Memory: 128 << 20, Sockets: 1024, Cores: 1, Drain: Duration(5 * time.Second)}
+}
 func (l *Listener) setDefaults() { *l = Listener{Front: "http", MaxBody: 8 << 20} }
 func (s *Share) setDefaults()    { *s = Share{Least: 16, Weight: 1} }
 func (c *Class) setDefaults()    { *c = Class{Worth: 1} }
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -36,7 +36,8 @@
 	most  int
 	mu    sync.Mutex
 	open  int
-	quiet *list.List // those without an open request, the one quiet longest first
+	quiet *list.List       // those without an open request, the one quiet longest first
+	all   map[*caller]bool // nil where nobody has to close them all
 }
 
 func newCallers(most int) *callers { return &callers{most: most, quiet: list.New()} }
@@ -78,14 +79,27 @@
 	c := &caller{Conn: conn, reader: bufio.NewReader(conn)}
 	c.quiet = cs.quiet.PushBack(c)
 	cs.open++
+	if cs.all != nil {
+		cs.all[c] = true
+	}
 	return c
 }
 
+// closeAll closes every connection, whatever is open on it.
+func (cs *callers) closeAll() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.all {
+		c.Close()
+	}
+}
+
 func (cs *callers) remove(c *caller) {
 	c.Close()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.open--
+	delete(cs.all, c)
 	cs.quiet.Remove(c.quiet)
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -25,6 +25,7 @@
 	event    whinknot.Event // as the module hears of it
 	id       string         // its client's
 	wait     float64        // ms from its arrival in which it must be answered
+	longer   float64        // and if its body streams
 	out      outgoing
 	reply    func(answer) // takes the one final answer
 	backstop *due
@@ -36,7 +37,17 @@
 }
 
 // due tells the call when it arrived.
-func (c *call) due(arrived float64) { c.event.Due = arrived + c.wait }
+func (c *call) due(arrived float64) {
+	if c.out.upload != nil {
+		c.wait, c.event.Spent = c.longer, true
+	}
+	c.event.Due = arrived + c.wait
+}
+
+// lessMargin is the time in ms in which a request must be answered whose client waits so many seconds.
+func lessMargin(wait float64) float64 {
+	return 1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait)
+}
 
 // due is one thing to do at a time: a timer of the module's, or the backstop of a call.
 type due struct {
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -74,7 +74,7 @@
 	}
 	k = &call{
 		event: whinknot.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
-		wait:  1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait),
+		wait:  lessMargin(wait),
 		id:    h.Get("X-Request-Id"),
 	}
 	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
--- /dev/null
+++ b/internal/sidecar/routed.go
@@ -0,0 +1,179 @@
+package sidecar
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"whinknot"
+	"whinknot/internal/route"
+)
+
+// door is how one listener of an operator file takes requests in one generation.
+type door struct {
+	table *route.Table
+	pools map[string]*pool
+	most  int64 // bytes of a request's body
+}
+
+// take turns a head into a call of a pool, by the routes.
+func (d *door) take(c *caller, m *message) taken {
+	req, target, status, complaint := readTarget(m)
+	if status != 0 {
+		return taken{status: status, complaint: complaint}
+	}
+	rule := d.table.Match(req)
+	switch {
+	case rule == nil:
+		return taken{fixed: &answer{status: http.StatusNotFound, body: []byte("no route\n")}}
+	case rule.Answer != nil:
+		a := &answer{status: rule.Answer.Status, body: []byte(rule.Answer.Body), header: http.Header{}}
+		if to := rule.Answer.Redirect(req); to != "" {
+			a.header.Set("Location", to)
+		}
+		if a.bare = req.Method == http.MethodHead || bodiless(a.status); a.bare {
+			a.length = int64(len(a.body))
+			if a.body = nil; bodiless(a.status) {
+				a.length = untold
+			}
+		}
+		return taken{fixed: a}
+	}
+	p := d.pools[rule.Pool]
+	bounds := p.bounds
+	bounds.most = d.most
+	k, status, complaint := p.call(p.classes[rule.Class], m, &bounds)
+	if k == nil {
+		return taken{status: status, complaint: complaint}
+	}
+	if m.length > d.most {
+		return taken{status: http.StatusRequestEntityTooLarge, complaint: "the body is over the limit"}
+	}
+	uri := rule.Rewritten(req.Path)
+	if target.query != "" {
+		uri += "?" + target.query
+	}
+	k.out.start = req.Method + " " + uri + " HTTP/1.1\r\nHost: " + target.host + "\r\n"
+	k.out.bare = req.Method == http.MethodHead
+	if host, _, err := net.SplitHostPort(c.RemoteAddr().String()); err == nil {
+		k.out.header["X-Forwarded-For"] = []string{strings.Join(append(k.out.header["X-Forwarded-For"], host), ", ")}
+	}
+	return taken{call: k, loop: p.loop, streams: &bounds}
+}
+
+// call makes a call of a class. Its route has chosen the class; what is left to check is what the class needs.
+func (p *pool) call(class uint16, m *message, bounds *bodies) (k *call, status int, complaint string) {
+	h, spec := m.header, &p.set.Classes[class]
+	if spec.Effect == whinknot.Keyed && h.Get("Idempotency-Key") == "" {
+		return nil, http.StatusBadRequest, "Idempotency-Key is missing: requests of class " + spec.Name + " need one"
+	}
+	wait := spec.GiveUp / 1000
+	longer := wait + bounds.total.Seconds() // the time that a streamed body takes is its caller's
+	if text := h.Get("X-Deadline"); text != "" {
+		left, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(left > 0) || math.IsInf(left, 0) {
+			return nil, http.StatusBadRequest, "X-Deadline is no time"
+		}
+		wait, longer = min(wait, left), min(longer, left)
+		bounds.total = min(bounds.total, seconds(left)) // a streamed answer ends by it
+	}
+	tenant, ok := p.tenants[h.Get("X-Tenant")]
+	if !ok {
+		tenant = uint16(len(p.tenants)) // one without a quota
+	}
+	hint, err := strconv.ParseFloat(h.Get("X-Cost-Hint"), 64)
+	if err != nil {
+		hint = 0
+	}
+	k = &call{
+		event: whinknot.Event{Class: class, Tenant: tenant, Hint: hint / 1000},
+		wait:  lessMargin(wait), longer: lessMargin(longer),
+		out: outgoing{open: true, bounds: bounds, within: millis(lessMargin(wait))},
+	}
+	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
+		sum := fnv.New64a()
+		io.WriteString(sum, cookie.Value)
+		k.event.Key = sum.Sum64()
+	}
+	id := h.Get("X-Request-Id")
+	k.out.header = endToEnd(h)
+	k.out.header.Del("Host")
+	if id == "" {
+		k.out.header["X-Request-Id"] = []string{fmt.Sprintf("%016x", rand.Uint64())}
+	}
+	return k, 0, ""
+}
+
+func seconds(s float64) time.Duration { return time.Duration(min(s, 1e6) * float64(time.Second)) }
+
+// target is what a request asks for, as it goes on to a server.
+type target struct{ host, query string }
+
+// once are the headers that may come only once on an operator's listener: with two, a request could be read in two ways.
+var once = []string{"Host", "X-Request-Id", "X-Tenant", "X-Deadline", "Idempotency-Key", "Expect"}
+
+// readTarget reads the request line and Host (RFC 9112, 3). An absolute-form target names the host by itself.
+func readTarget(m *message) (*route.Request, target, int, string) {
+	bad := func(why string) (*route.Request, target, int, string) {
+		return nil, target{}, http.StatusBadRequest, why
+	}
+	method, rest, _ := strings.Cut(m.first, " ")
+	uri, version, _ := strings.Cut(rest, " ")
+	if version != "HTTP/1.1" && version != "HTTP/1.0" || hasControl(uri) || !isToken(method) {
+		return bad("the request line cannot be read")
+	}
+	if method == http.MethodConnect || method == http.MethodTrace {
+		return nil, target{}, http.StatusMethodNotAllowed, method + " is not served"
+	}
+	for _, name := range once {
+		if len(m.header[name]) > 1 {
+			return bad(name + " comes twice")
+		}
+	}
+	t := target{host: m.header.Get("Host")}
+	if len(m.header["Host"]) == 0 && version == "HTTP/1.1" {
+		return bad("Host is missing")
+	}
+	if scheme, after, ok := strings.Cut(uri, "://"); ok && !strings.HasPrefix(uri, "/") {
+		if !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+			return bad("the target is of another scheme")
+		}
+		end := strings.IndexAny(after, "/?")
+		if end < 0 {
+			end = len(after)
+		}
+		t.host, uri = after[:end], after[end:]
+		if t.host == "" {
+			return bad("the target names no host")
+		}
+		if !strings.HasPrefix(uri, "/") {
+			uri = "/" + uri
+		}
+	}
+	if strings.IndexByte(uri, '#') >= 0 {
+		return bad("the target holds a fragment")
+	}
+	raw, query, _ := strings.Cut(uri, "?")
+	path, err := route.Normalize(raw)
+	if err != nil {
+		return bad(err.Error())
+	}
+	host, err := route.NormalizeHost(t.host)
+	if err != nil {
+		return bad(err.Error())
+	}
+	t.query = query
+	return &route.Request{Method: method, Host: host, Path: &path, Query: query, Header: m.header}, t, 0, ""
+}
+
+// isToken tells whether a method is one in capital letters, as all registered ones are.
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool { return (r < 'A' || r > 'Z') && r != '-' && r != '_' })
+}
