Add tool and agent: rollouts over many instances that tell only what instances said

milletagent starts or adopts the instances of its host, holds their configuration in bbolt and brings them back to it by what they report. milletctl lists, inspects, drains, reloads and rolls out through agents, with mutual TLS and roles. The rollout is a state machine free of I/O (internal/fleet): an instance counts as applied only while its own last word says so, and no change is begun while as many as allowed are away. Two tools are kept apart by epochs that agents hold.

Property tests of the state machine under loss, doubling, reordering and restarts; an agent killed at each write.

--- /dev/null
+++ b/cmd/milletagent/main.go
@@ -0,0 +1,49 @@
+// Command milletagent runs beside the instances of one host: it starts or attaches to them, holds their configuration
+// durably, and answers milletctl. See docs/operate/fleet.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"whinknot/internal/agent"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "milletagent:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use: "milletagent -f FILE", Short: "Run the agent of one host", Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		Long: `Runs until SIGTERM or an interrupt, and then stops the instances that it started. Its state survives a crash at any
+instant; what an instance runs is told by the instance alone.`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := agent.LoadConfig(path)
+			if err != nil {
+				return err
+			}
+			slog.SetDefault(slog.With("agent", cfg.Name))
+			a, err := agent.New(cfg)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return a.Run(ctx)
+		},
+	}
+	cmd.Flags().StringVarP(&path, "file", "f", "", "the agent's file")
+	cmd.MarkFlagRequired("file")
+	return cmd
+}
--- a/cmd/milletmast/serve.go
+++ b/cmd/milletmast/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"os"
@@ -12,25 +13,28 @@
 
 	"github.com/spf13/cobra"
 
+	"whinknot/internal/control"
 	"whinknot/internal/operator"
 	"whinknot/internal/sidecar"
 )
 
 func serveCommand() *cobra.Command {
-	var path string
+	var path, socket, name string
 	cmd := &cobra.Command{
 		Use:   "serve -f FILE",
 		Short: "Run a sidecar by an operator file",
 		Long: `Runs until SIGTERM or an interrupt, then finishes what was taken. SIGHUP loads the file again, whole or not at all: what
 is wrong in it is told in the log and changes nothing.`,
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd, path) },
+		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd, path, socket, name) },
 	}
 	fileFlag(cmd, &path)
+	cmd.Flags().StringVar(&socket, "control", "", "a Unix socket on which an agent may ask and change this instance (default: none)")
+	cmd.Flags().StringVar(&name, "name", "", "the name that it tells there (default: the file's)")
 	return cmd
 }
 
-func serve(cmd *cobra.Command, path string) error {
+func serve(cmd *cobra.Command, path, socket, name string) error {
 	hangups := make(chan os.Signal, 1) // one waiting is enough: it reads the file as it is then
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -59,7 +63,26 @@
 			}
 		}
 	}()
-	err = i.Run(ctx)
+	ended, end := context.WithCancel(context.Background())
+	defer end()
+	controlled := make(chan error, 1)
+	if socket != "" {
+		go func() { controlled <- control.Serve(ended, socket, newNode(i, name, path)) }()
+	} else {
+		controlled <- nil
+	}
+	running := make(chan error, 1)
+	go func() { running <- i.Run(ctx) }()
+	select {
+	case err = <-controlled: // it cannot be had, or there is none
+		if err != nil {
+			stop()
+		}
+		err = cmp.Or(err, <-running)
+	case err = <-running:
+		end()
+		err = cmp.Or(err, <-controlled)
+	}
 	<-reloads
 	return err
 }
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,211 @@
+// Package agent runs beside the instances of one host: it starts or attaches to them, holds their configuration durably,
+// and brings them back to it by what they report. It answers the tool over gRPC.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"whinknot/internal/control"
+	"whinknot/internal/control/agentpb"
+)
+
+// Config is an agent's file.
+type Config struct {
+	Name      string         `toml:"name"`
+	Site      string         `toml:"site"`
+	Listen    string         `toml:"listen"` // host:port, with TLS, or unix:PATH
+	State     string         `toml:"state"`  // folder
+	TLS       TLS            `toml:"tls"`
+	Instances []InstanceSpec `toml:"instance"`
+}
+
+// InstanceSpec is one instance of the host.
+type InstanceSpec struct {
+	Name    string            `toml:"name"`
+	Socket  string            `toml:"socket"`  // its control socket
+	Command []string          `toml:"command"` // the program, for one that the agent starts; none to attach
+	Config  string            `toml:"config"`  // operator file to begin with, for one that the agent starts
+	Labels  map[string]string `toml:"labels"`
+}
+
+// LoadConfig reads an agent's file, strictly. Paths are relative to its folder.
+func LoadConfig(path string) (*Config, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var c Config
+	d := toml.NewDecoder(f)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			line, _ := strict.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d: %s: unknown key", path, line, strings.Join(strict.Errors[0].Key(), "."))
+		}
+		var at *toml.DecodeError
+		if errors.As(err, &at) {
+			line, _ := at.Position()
+			return nil, fmt.Errorf("%s:%d: %s: %w", path, line, strings.Join(at.Key(), "."), err)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	dir := filepath.Dir(path)
+	fix := func(p *string) {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	fix(&c.State)
+	fix(&c.TLS.CA)
+	fix(&c.TLS.Cert)
+	fix(&c.TLS.Key)
+	if rest, ok := strings.CutPrefix(c.Listen, "unix:"); ok {
+		fix(&rest)
+		c.Listen = "unix:" + rest
+	}
+	if c.Name == "" || c.Listen == "" || c.State == "" {
+		return nil, fmt.Errorf("%s: name, listen and state are needed", path)
+	}
+	if !strings.HasPrefix(c.Listen, "unix:") && c.TLS.Cert == "" {
+		return nil, fmt.Errorf("%s: tls: is needed unless listen is unix:PATH", path)
+	}
+	seen := map[string]bool{}
+	for i := range c.Instances {
+		s := &c.Instances[i]
+		fix(&s.Socket)
+		fix(&s.Config)
+		switch {
+		case s.Name == "" || seen[s.Name] || strings.ContainsAny(s.Name, "/\\"):
+			return nil, fmt.Errorf("%s: instance[%d].name: %q is empty, comes twice or is no name", path, i, s.Name)
+		case s.Socket == "":
+			return nil, fmt.Errorf("%s: instance[%d].socket: is missing", path, i)
+		case len(s.Command) > 0 && s.Config == "":
+			return nil, fmt.Errorf("%s: instance[%d].config: is missing for one that the agent starts", path, i)
+		}
+		seen[s.Name] = true
+	}
+	return &c, nil
+}
+
+// Agent is one running agent.
+type Agent struct {
+	agentpb.UnimplementedAgentServer
+	cfg     *Config
+	store   *Store
+	members []*member
+	byName  map[string]*member
+	boot    uint64
+	orders  atomic.Uint64
+	tls     *reloader
+}
+
+// New opens the agent's state and takes the first configuration of instances that it has none for.
+func New(cfg *Config) (*Agent, error) {
+	if err := os.MkdirAll(cfg.State, 0o700); err != nil {
+		return nil, err
+	}
+	store, boot, err := OpenStore(filepath.Join(cfg.State, "agent.db"))
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{cfg: cfg, store: store, byName: map[string]*member{}, boot: boot}
+	for _, spec := range cfg.Instances {
+		m := &member{spec: spec, agent: a, client: control.NewClient(spec.Socket), file: filepath.Join(cfg.State, spec.Name+".toml")}
+		if spec.Config != "" {
+			text, err := os.ReadFile(spec.Config)
+			if err == nil {
+				err = store.Hold(spec.Name, text)
+			}
+			if err != nil {
+				store.Close()
+				return nil, fmt.Errorf("instance %s: %w", spec.Name, err)
+			}
+		}
+		a.members = append(a.members, m)
+		a.byName[spec.Name] = m
+	}
+	if cfg.TLS.Cert != "" {
+		if a.tls, err = newReloader(cfg.TLS); err != nil {
+			store.Close()
+			return nil, err
+		}
+	}
+	return a, nil
+}
+
+// Store gives the agent's state, for tests that end the process at a write.
+func (a *Agent) Store() *Store { return a.store }
+
+// nextOrder numbers what instances say, over all starts of the agent.
+func (a *Agent) nextOrder() uint64 { return a.boot<<32 | a.orders.Add(1)&0xffffffff }
+
+// log adds a line to the audit log; a disk that is full must not stop the agent.
+func (a *Agent) log(who, what string) {
+	if err := a.store.Log(time.Now(), who, what); err != nil {
+		slog.Error("audit log", "err", err)
+	}
+}
+
+const (
+	maxMessage = 16 << 20
+	maxStreams = 64 // calls at once of one connection
+)
+
+// Run supervises the instances and answers the tool until the context ends; then it stops the instances that it started.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.store.Close()
+	ln, err := a.listen()
+	if err != nil {
+		return err
+	}
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage), grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(5 * time.Second), grpc.UnaryInterceptor(a.guard),
+	}
+	if a.tls != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(a.tls.server())))
+	}
+	server := grpc.NewServer(options...)
+	agentpb.RegisterAgentServer(server, a)
+	running, end := context.WithCancel(ctx)
+	defer end()
+	var all sync.WaitGroup
+	for _, m := range a.members {
+		all.Go(func() { m.run(running) })
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ln) }()
+	slog.Info("agent serves", "name", a.cfg.Name, "addr", ln.Addr(), "instances", len(a.members), "boot", a.boot)
+	select {
+	case err = <-served:
+	case <-ctx.Done():
+		server.Stop()
+		<-served
+	}
+	end()
+	all.Wait()
+	return err
+}
+
+func (a *Agent) listen() (net.Listener, error) {
+	if path, ok := strings.CutPrefix(a.cfg.Listen, "unix:"); ok {
+		return control.ListenUnix(path)
+	}
+	return net.Listen("tcp", a.cfg.Listen)
+}
--- a/internal/operator/load.go
+++ b/internal/operator/load.go
@@ -56,6 +56,7 @@
 type Config struct {
 	File
 	Path   string
+	Text   []byte                  // as it was read
 	Hash   string                  // SHA-256 of the text and of the server files, in hex
 	Tables map[string]*route.Table // by listener
 	Named  map[string][]Server     // what the server files held when the file was loaded, by pool
@@ -95,7 +96,7 @@
 // Parse checks the text of a file; path is its name, for errors and for what it names relative to its folder.
 func Parse(path string, text []byte) (*Config, error) {
 	d := &document{name: path}
-	cfg := &Config{Path: path, Tables: map[string]*route.Table{}, Named: map[string][]Server{}}
+	cfg := &Config{Path: path, Text: text, Tables: map[string]*route.Table{}, Named: map[string][]Server{}}
 	if !d.decode(text, &cfg.File) {
 		return nil, d.errs
 	}
@@ -110,6 +111,12 @@
 	return cfg, nil
 }
 
+// TextHash is the SHA-256 of the text of a file alone, in hex: the same on every host, whatever its server files hold.
+func TextHash(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
 // ServerFile is the form of a file of servers.
 type ServerFile struct {
 	Servers []Server `toml:"server"`
--- /dev/null
+++ b/internal/pki/pki.go
@@ -0,0 +1,133 @@
+// Package pki makes a small certificate authority for trying out: one CA, and certificates for agents and for people.
+package pki
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+const (
+	caTime   = 5 * 365 * 24 * time.Hour
+	certTime = 90 * 24 * time.Hour
+)
+
+// Init makes ca.pem and ca.key in a folder; it does not replace one that is there.
+func Init(dir string) error {
+	if _, err := os.Stat(filepath.Join(dir, "ca.key")); err == nil {
+		return fmt.Errorf("%s holds a CA already", dir)
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	t, err := template("milletmast trial CA", nil, caTime)
+	if err != nil {
+		return err
+	}
+	t.IsCA, t.BasicConstraintsValid, t.KeyUsage = true, true, x509.KeyUsageCertSign|x509.KeyUsageCRLSign
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return err
+	}
+	return write(dir, "ca", der, key)
+}
+
+// Agent makes NAME.pem and NAME.key for an agent of that name.
+func Agent(dir, name string) error {
+	return issue(dir, name, nil, func(t *x509.Certificate) {
+		t.DNSNames, t.ExtKeyUsage = []string{name}, []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	})
+}
+
+// Client makes NAME.pem and NAME.key for a person or tool with a role.
+func Client(dir, name, role string) error {
+	return issue(dir, name, []string{role}, func(t *x509.Certificate) {
+		t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	})
+}
+
+func template(name string, units []string, valid time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return nil, err
+	}
+	return &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name, OrganizationalUnit: units},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(valid), // hosts' clocks differ
+	}, nil
+}
+
+func issue(dir, name string, units []string, change func(*x509.Certificate)) error {
+	if name == "" || name == "ca" || filepath.Base(name) != name {
+		return fmt.Errorf("%q is no name of a certificate", name)
+	}
+	caCert, caKey, err := read(dir)
+	if err != nil {
+		return err
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	t, err := template(name, units, certTime)
+	if err != nil {
+		return err
+	}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	change(t)
+	der, err := x509.CreateCertificate(rand.Reader, t, caCert, &key.PublicKey, caKey)
+	if err != nil {
+		return err
+	}
+	return write(dir, name, der, key)
+}
+
+func read(dir string) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	var blocks [2]*pem.Block
+	for i, name := range []string{"ca.pem", "ca.key"} {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return nil, nil, err
+		}
+		if blocks[i], _ = pem.Decode(text); blocks[i] == nil {
+			return nil, nil, fmt.Errorf("%s holds no PEM", name)
+		}
+	}
+	cert, err := x509.ParseCertificate(blocks[0].Bytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	key, err := x509.ParsePKCS8PrivateKey(blocks[1].Bytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	private, ok := key.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, nil, errors.New("ca.key is of another kind")
+	}
+	return cert, private, nil
+}
+
+func write(dir, name string, der []byte, key *ecdsa.PrivateKey) error {
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, name+".key"), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, name+".pem"), pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o644)
+}
--- a/internal/sidecar/instance.go
+++ b/internal/sidecar/instance.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"whinknot/internal/operator"
@@ -24,6 +26,7 @@
 	ledger  *ledger
 
 	apply func(operator.Limits)
+	away  atomic.Bool // not ready, by command; what comes is served all the same
 
 	reloading sync.Mutex // one at a time
 	sharing   sync.Mutex // likewise
@@ -33,6 +36,7 @@
 	listeners map[string]*listener // by key
 	retiring  map[*listener]bool   // those removed whose address is not free yet
 	draining  bool
+	past      PoolStatus     // counts of the pools that have ended
 	pools     map[*pool]bool // those that run
 	ending    sync.WaitGroup // what ends beside
 	ended     chan struct{}
@@ -256,7 +260,7 @@
 // newListener makes a listener that takes its requests by the generation in force.
 func (i *Instance) newListener(key string, ln net.Listener) *listener {
 	l := &listener{key: key, net: ln, served: make(chan struct{})}
-	l.front = &front{accept: acceptTime, quiet: quietTime, callers: i.callers, usable: func() bool { return true }}
+	l.front = &front{accept: acceptTime, quiet: quietTime, callers: i.callers, usable: func() bool { return !i.away.Load() }}
 	l.front.intake = func(c *caller, m *message) taken {
 		g := i.acquire(l)
 		t := g.doors[l.key].take(c, m)
@@ -344,6 +348,11 @@
 	i.ending.Go(func() {
 		for _, p := range ends {
 			p.stop()
+			i.mu.Lock()
+			i.past.Served += p.loop.served
+			i.past.Refused += p.loop.refused
+			i.past.Failed += p.loop.failures
+			i.mu.Unlock()
 		}
 		i.share()
 	})
@@ -409,18 +418,26 @@
 
 // Status is what an instance reports of itself.
 type Status struct {
-	Generation uint64
-	Hash       string
-	Draining   bool
-	Callers    int // connections
-	Pools      []PoolStatus
+	Generation              uint64
+	Config                  *operator.Config // in force
+	Draining                bool
+	Callers                 int // connections
+	Pools                   []PoolStatus
+	Served, Refused, Failed uint64  // since the start, all pools together
+	P99                     float64 // ms, of the requests served last
 }
 
+// SetAway has the instance say that it is not ready, or that it is again. Requests that come all the same are served.
+func (i *Instance) SetAway(away bool) { i.away.Store(away) }
+
 // Status asks all pools.
 func (i *Instance) Status() Status {
 	i.mu.Lock()
 	g := i.current
-	s := Status{Generation: g.number, Hash: g.cfg.Hash, Draining: i.draining}
+	s := Status{
+		Generation: g.number, Config: g.cfg, Draining: i.draining || i.away.Load(),
+		Served: i.past.Served, Refused: i.past.Refused, Failed: i.past.Failed,
+	}
 	var pools []*pool
 	for _, spec := range g.cfg.Pools {
 		pools = append(pools, g.pools[spec.Name])
@@ -434,17 +451,23 @@
 	i.callers.mu.Lock()
 	s.Callers = i.callers.open
 	i.callers.mu.Unlock()
+	var times []float32
 	for _, p := range pools {
 		ps := PoolStatus{Name: p.name, Ending: g.pools[p.name] != p}
 		p.loop.ask(func() {
 			l := p.loop
 			ps.Servers, ps.Usable, ps.Open = len(l.listed), l.usable, len(l.calls)
 			ps.Served, ps.Refused, ps.Failed = l.served, l.refused, l.failures
+			times = append(times, l.recent...)
 		})
+		s.Served, s.Refused, s.Failed = s.Served+ps.Served, s.Refused+ps.Refused, s.Failed+ps.Failed
 		p.up.mu.Lock()
 		ps.Connections, ps.Most = p.up.open, p.up.most
 		p.up.mu.Unlock()
 		s.Pools = append(s.Pools, ps)
 	}
+	if slices.Sort(times); len(times) > 0 {
+		s.P99 = float64(times[len(times)*99/100])
+	}
 	return s
 }
--- a/internal/sidecar/instance_test.go
+++ b/internal/sidecar/instance_test.go
@@ -639,7 +639,7 @@
 		t.Errorf("error %v, want one of listener b", err)
 	}
 	after := i.Status()
-	if after.Generation != before.Generation || after.Hash != before.Hash || len(after.Pools) != 1 || len(i.listeners) != 1 {
+	if after.Generation != before.Generation || after.Config != before.Config || len(after.Pools) != 1 || len(i.listeners) != 1 {
 		t.Errorf("status %+v after a failed reload, before %+v", after, before)
 	}
 	connect(t, i.Addresses()["in"]).must(t, "GET", "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 200)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -103,7 +103,9 @@
 	listed    map[uint32]bool // servers of the list, and whether they are ready
 	usable    int             // those that are
 
-	served, refused, failures uint64 // calls by their final answer
+	served, refused, failures uint64    // calls by their final answer
+	recent                    []float32 // times in ms of operators' calls served last, a ring
+	timed                     int
 }
 
 func newLoop(cfg *Config, up *upstream) (*loop, error) {
@@ -323,11 +325,26 @@
 		l.failures++
 	default:
 		l.served++
+		if c.out.open {
+			l.note(float32(l.now() - (c.event.Due - c.wait)))
+		}
 	}
 	c.reply(a)
 	l.release(c)
 }
 
+const recentCalls = 512
+
+// note keeps the time that a call took.
+func (l *loop) note(ms float32) {
+	if len(l.recent) < recentCalls {
+		l.recent = append(l.recent, ms)
+	} else {
+		l.recent[l.timed%recentCalls] = ms
+	}
+	l.timed++
+}
+
 // release forgets a call once nothing more can be heard of it. Its body must not stay in the agenda till its time.
 func (l *loop) release(c *call) {
 	if !c.ended || c.open > 0 {
