--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -333,6 +333,59 @@
 	}
 }
 
+// A state that cannot be written, as on a full disk, keeps the change from being sent: what could not be reconciled after a
+// crash is not begun.
+func TestStateThatCannotBeWritten(t *testing.T) {
+	h := newHost(t)
+	cfg, err := LoadConfig(h.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.store.Close()
+	if refused, err := a.members[0].change(t.Context(), file(1), "r"); err == nil || refused != "" {
+		t.Errorf("refused %q, %v, want an error", refused, err)
+	}
+	if h.fake.applied != 0 {
+		t.Error("the change was sent all the same")
+	}
+}
+
+// Certificates that are replaced on disk count from the next connection on, without a restart; files that cannot be read
+// change nothing.
+func TestCertificatesAreReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	for _, err := range []error{pki.Init(dir), pki.Agent(dir, "a")} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err := newReloader(TLS{CA: filepath.Join(dir, "ca.pem"), Cert: filepath.Join(dir, "a.pem"), Key: filepath.Join(dir, "a.key")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, _ := r.now()
+	if err := os.WriteFile(filepath.Join(dir, "a.pem"), []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.next = time.Time{}
+	if kept, _ := r.now(); kept != first {
+		t.Error("a certificate that cannot be read was taken")
+	}
+	if err := pki.Agent(dir, "a"); err != nil {
+		t.Fatal(err)
+	}
+	later := time.Now().Add(time.Minute)
+	os.Chtimes(filepath.Join(dir, "a.pem"), later, later)
+	r.next = time.Time{}
+	if fresh, _ := r.now(); fresh == first || string(fresh.Certificate[0]) == string(first.Certificate[0]) {
+		t.Error("the new certificate is not in use")
+	}
+}
+
 // A torn last page of the state must not lose what was written before.
 func TestStateSurvivesATornEnd(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "agent.db")
--- a/internal/agent/member.go
+++ b/internal/agent/member.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,7 +22,9 @@
 )
 
 const (
-	lookEvery   = 500 * time.Millisecond // an instance is asked so often
+	lookEvery   = 500 * time.Millisecond // an instance is asked so often,
+	looksMost   = 200                    // while no more than so many are asked in a second
+	asksAtOnce  = 64                     // of a List that asks all instances
 	askTime     = time.Second            // and has so long to answer
 	changeTime  = 15 * time.Second       // to take a configuration
 	backoffMin  = 200 * time.Millisecond // before a process is started again; doubles
@@ -58,7 +61,15 @@
 		all.Go(func() { m.supervise(ctx) })
 	}
 	all.Go(func() {
-		tick := time.NewTicker(lookEvery)
+		every := max(lookEvery, time.Duration(len(m.agent.members))*time.Second/looksMost)
+		if every > lookEvery { // many: spread over the time, not all at once
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(rand.N(every)):
+			}
+		}
+		tick := time.NewTicker(every)
 		defer tick.Stop()
 		for {
 			m.look(ctx)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -101,13 +102,16 @@
 		list = []*member{m}
 	}
 	if req.Fresh {
-		done := make(chan struct{}, len(list))
+		var all sync.WaitGroup
+		slots := make(chan struct{}, asksAtOnce)
 		for _, m := range list {
-			go func() { m.look(ctx); done <- struct{}{} }()
-		}
-		for range list {
-			<-done
+			slots <- struct{}{}
+			all.Go(func() {
+				m.look(ctx)
+				<-slots
+			})
 		}
+		all.Wait()
 	}
 	for _, m := range list {
 		out.Members = append(out.Members, m.tell())
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -245,6 +245,12 @@
 	for a := range agentsCount {
 		loads.Go(func() { s.load(ctx, fmt.Sprintf("i%d0", a), answered, &mu) })
 	}
+	begun := time.Now()
+	calm, err := s.rollout("calm", s.file("calm")).Run(t.Context())
+	if err != nil || !calm.OK {
+		t.Fatalf("with nothing in the way: %+v, %v", calm, err)
+	}
+	t.Logf("with nothing in the way: %d instances in %v", len(calm.Rows), time.Since(begun).Round(time.Millisecond))
 	for seed := range seeds() {
 		rng := rand.New(rand.NewPCG(uint64(seed), 7))
 		text := s.file(fmt.Sprint("seed ", seed))
--- a/internal/ctl/rollout.go
+++ b/internal/ctl/rollout.go
@@ -22,7 +22,10 @@
 // quickBackoff is for agents that come back: a rollout waits for them.
 var quickBackoff = backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
 
-const stepEvery = 50 * time.Millisecond
+const (
+	stepEvery  = 50 * time.Millisecond
+	asksAtOnce = 32 // more would wait in the agents until their time is up
+)
 
 // Errors of a rollout.
 var (
@@ -46,6 +49,8 @@
 	events chan fleet.Event
 	stop   error           // why it cannot go on; guarded by mu
 	seen   map[string]bool // commands
+	asking map[string]bool // instances that are being asked
+	slots  chan struct{}
 	mu     sync.Mutex
 }
 
@@ -63,6 +68,7 @@
 func (r *Rollout) Run(ctx context.Context) (*Result, error) {
 	r.Plan.Target = operator.TextHash(r.Text)
 	r.orders, r.seen, r.events = map[string]uint64{}, map[string]bool{}, make(chan fleet.Event, 1024)
+	r.asking, r.slots = map[string]bool{}, make(chan struct{}, asksAtOnce)
 	heard := r.Agents.Ask(ctx, true)
 	list, at, silent := Chosen(heard, &r.Select)
 	r.at = at
@@ -87,6 +93,11 @@
 	steps, cancel := context.WithCancel(ctx)
 	var flying sync.WaitGroup
 	flying.Go(func() { r.commands(steps) })
+	flying.Go(func() { // what was heard already need not be asked again
+		for _, m := range list {
+			r.tell(steps, m)
+		}
+	})
 	r.loop(steps, rollout, &flying)
 	cancel()
 	flying.Wait()
@@ -211,7 +222,13 @@
 			case fleet.Note:
 				r.Notes(a.Text)
 			case fleet.Ask:
-				flying.Go(func() { r.ask(ctx, a.Instance) })
+				r.mu.Lock()
+				busy := r.asking[a.Instance]
+				r.asking[a.Instance] = true
+				r.mu.Unlock()
+				if !busy {
+					flying.Go(func() { r.ask(ctx, a.Instance) })
+				}
 			case fleet.Apply:
 				flying.Go(func() { r.apply(ctx, a) })
 			}
@@ -263,6 +280,17 @@
 
 // ask has an instance report through its agent.
 func (r *Rollout) ask(ctx context.Context, name string) {
+	defer func() {
+		r.mu.Lock()
+		delete(r.asking, name)
+		r.mu.Unlock()
+	}()
+	select {
+	case r.slots <- struct{}{}:
+		defer func() { <-r.slots }()
+	case <-ctx.Done():
+		return
+	}
 	a := r.agentOf(ctx, name)
 	var reply *agentpb.ListReply
 	err := errors.New("no agent has it")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -438,16 +438,19 @@
 	r.ask(now, func(m *member) bool {
 		return chosen(m) && (m.order == 0 || m.lost || m.State == Changing || m.State == Waiting)
 	})
-	through := true
+	through, away := true, r.away()
 	for _, m := range r.members {
 		if !chosen(m) {
 			continue
 		}
 		if m.State == Waiting && (m.order == 0 || m.lost) && now-r.begun >= r.plan.Timeout && now-m.Seen >= r.plan.Timeout {
-			m.State, m.Text = Unreachable, "not in sight"
+			if m.State, m.Text = Unreachable, "not in sight"; !m.lost {
+				away++
+			}
 		}
-		if m.State == Waiting && m.order > 0 && !m.lost && r.away() < r.plan.MaxAway {
+		if m.State == Waiting && m.order > 0 && !m.lost && away < r.plan.MaxAway {
 			r.token++
+			away++
 			m.State, m.token, m.deadline = Changing, r.token, now+r.plan.Timeout
 			m.tries++
 			r.acts = append(r.acts, Action{Kind: Apply, Instance: m.Instance, Hash: m.want, Token: m.token})
@@ -557,22 +560,14 @@
 func (r *Rollout) verify(now float64) {
 	touched := func(m *member) bool { return m.State == Applied || m.tries > 0 && m.State != Refused }
 	r.ask(now, func(m *member) bool { return touched(m) && !m.verified })
-	for _, m := range r.members {
-		switch {
-		case m.State == Changing, m.State == Waiting && m.tries > 0 && !m.lost && r.away() < r.plan.MaxAway:
-			r.work(now, func(o *member) bool { return o == m })
-			if m.State == Changing && now < r.until {
-				return
-			}
-		case touched(m) && !m.verified && now < r.until:
-			return
-		}
+	r.work(now, func(m *member) bool { return m.State == Changing || m.State == Waiting && m.tries > 0 && !m.lost })
+	if now < r.until && slices.ContainsFunc(r.members, func(m *member) bool {
+		return m.State == Changing || touched(m) && !m.verified
+	}) {
+		return
 	}
 	for _, m := range r.members {
-		switch {
-		case m.State == Changing && now < r.until:
-			return
-		case m.State == Applied && (!m.verified || m.lost):
+		if m.State == Applied && (!m.verified || m.lost) {
 			m.State, m.Text = Unreachable, "applied, and not heard of since"
 		}
 	}
