--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -42,6 +43,8 @@
 	Labels  map[string]string `toml:"labels"`
 }
 
+const maxFile = 4 << 20 // bytes of a configuration file
+
 // LoadConfig reads an agent's file, strictly. Paths are relative to its folder.
 func LoadConfig(path string) (*Config, error) {
 	f, err := os.Open(path)
@@ -50,7 +53,7 @@
 	}
 	defer f.Close()
 	var c Config
-	d := toml.NewDecoder(f)
+	d := toml.NewDecoder(io.LimitReader(f, maxFile))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&c); err != nil {
 		var strict *toml.StrictMissingError
--- a/internal/agent/member.go
+++ b/internal/agent/member.go
@@ -57,7 +57,7 @@
 // run supervises the instance and looks at it until the context ends.
 func (m *member) run(ctx context.Context) {
 	var all sync.WaitGroup
-	if len(m.spec.Command) > 0 {
+	if m.ours() {
 		all.Go(func() { m.supervise(ctx) })
 	}
 	all.Go(func() {
@@ -285,7 +285,7 @@
 	case err != nil:
 		return
 	case intent.Hash != "" && hash == intent.Hash: // it had taken the change, and the answer was lost
-		if err := m.agent.store.Settle(m.spec.Name, hash); err != nil {
+		if err := m.settle(hash); err != nil {
 			slog.Error("not kept", "instance", m.spec.Name, "err", err)
 		}
 		return
@@ -319,8 +319,10 @@
 func (m *member) change(ctx context.Context, text []byte, rollout string) (refused string, err error) {
 	m.changing.Lock()
 	defer m.changing.Unlock()
-	if _, err := operator.Parse(m.file, text); err != nil {
-		return err.Error(), nil
+	if m.ours() { // one that we attach to knows by itself what its files are relative to
+		if _, err := operator.Parse(m.file, text); err != nil {
+			return err.Error(), nil
+		}
 	}
 	if err := m.agent.store.Intend(m.spec.Name, text, rollout); err != nil {
 		return "", err
@@ -334,8 +336,21 @@
 	case reply.Status.GetHash() != hash:
 		return "", fmt.Errorf("%s answers with another configuration, %s", m.spec.Name, short(reply.Status.GetHash()))
 	default:
-		return "", m.agent.store.Settle(m.spec.Name, hash)
+		return "", m.settle(hash)
+	}
+}
+
+// ours tells whether the agent starts the instance.
+func (m *member) ours() bool { return len(m.spec.Command) > 0 }
+
+// settle holds what the instance says that it runs, also in the file that its process reads when it is told to load it
+// again or starts anew.
+func (m *member) settle(hash string) error {
+	err := m.agent.store.Settle(m.spec.Name, hash)
+	if err == nil && m.ours() {
+		err = m.writeFile()
 	}
+	return err
 }
 
 // tell is the instance as the agent knows it.
--- a/internal/ctl/agents.go
+++ b/internal/ctl/agents.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path"
 	"path/filepath"
@@ -42,7 +43,7 @@
 	}
 	defer f.Close()
 	var c Config
-	d := toml.NewDecoder(f)
+	d := toml.NewDecoder(io.LimitReader(f, maxFile))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&c); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
@@ -70,7 +71,10 @@
 	return &c, nil
 }
 
-const maxMessage = 16 << 20
+const (
+	maxMessage = 16 << 20
+	maxFile    = 4 << 20
+)
 
 // AskTime is how long an agent has to answer a question.
 const AskTime = 3 * time.Second
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -430,3 +431,105 @@
 	s.startAgent(1) // it adopts its instances, and ends them with the test
 	s.inSight(4)
 }
+
+// A configuration that only one of the instances can take, as they share a port: the others say why not and run what they
+// ran. With rollback, the one that took it is brought back.
+func TestConfigurationThatOneCannotTake(t *testing.T) {
+	s := newSite(t, 2, 2)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := free.Addr().String()
+	free.Close()
+	first := operator.TextHash(s.file("first"))
+	for _, back := range []bool{false, true} {
+		text := []byte(strings.Replace(string(s.file(fmt.Sprint("shared ", back))), "127.0.0.1:0", addr, 1))
+		r := s.rollout(fmt.Sprint("shared-", back), text)
+		r.Plan.Canary, r.Plan.MaxAway, r.Plan.Rollback = 1, 1, back
+		if back {
+			r.Plan.MaxFailed = 0
+		}
+		result, err := r.Run(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if result.OK || result.Phase != map[bool]fleet.Phase{false: fleet.Complete, true: fleet.RolledBack}[back] {
+			t.Errorf("rollback %v: %v, OK %v", back, result.Phase, result.OK)
+		}
+		have := 0
+		for _, row := range result.Rows {
+			st := s.direct(row.Instance)
+			if st == nil || st.Hash != row.Hash || st.StartId != row.Start {
+				t.Errorf("rollback %v: %+v, and the instance says %v", back, row, st)
+			}
+			switch {
+			case st.GetHash() == operator.TextHash(text):
+				have++
+			case row.State == fleet.Refused && !strings.Contains(row.Text, "address already in use"):
+				t.Errorf("rollback %v: %+v does not say why", back, row)
+			case st.GetHash() != first:
+				t.Errorf("rollback %v: %s runs %.12s, neither the old one nor the new", back, row.Instance, st.GetHash())
+			}
+		}
+		if want := map[bool]int{false: 1, true: 0}[back]; have != want {
+			t.Errorf("rollback %v: %d instances run the new one, want %d: %+v", back, have, want, result.Rows)
+		}
+		if !back { // all as before again
+			again := s.rollout("again", s.file("first"))
+			if result, err := again.Run(t.Context()); err != nil || !result.OK {
+				t.Fatalf("back to the first: %+v, %v", result, err)
+			}
+		}
+	}
+}
+
+// A tool that is killed in the middle is run again with the same id, and goes on: what has applied is not changed again.
+func TestKilledToolGoesOn(t *testing.T) {
+	s := newSite(t, 2, 2)
+	bin, _ := build()
+	file, config := filepath.Join(s.dir, "tool.toml"), filepath.Join(s.dir, "next.toml")
+	os.WriteFile(file, []byte("[[agent]]\nname = \"a0\"\naddress = \"unix:a0.sock\"\n[[agent]]\nname = \"a1\"\naddress = \"unix:a1.sock\"\n"), 0o600)
+	os.WriteFile(config, s.file("next"), 0o600)
+	target := operator.TextHash(s.file("next"))
+	args := []string{"-a", file, "rollout", "start", "-f", config, "--id", "k", "--settle", "1500ms"}
+	cmd := exec.Command(bin+"/milletctl", args...)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	have := func() (n int) {
+		for name := range s.clients {
+			if s.direct(name).GetHash() == target {
+				n++
+			}
+		}
+		return n
+	}
+	for end := time.Now().Add(long); have() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the canary does not get it")
+		}
+	}
+	cmd.Process.Kill()
+	cmd.Wait()
+	if n := have(); n == len(s.clients) {
+		t.Fatal("it was through before it was killed")
+	}
+	generations := map[string]uint64{}
+	for name := range s.clients {
+		if st := s.direct(name); st.GetHash() == target {
+			generations[name] = st.Generation
+		}
+	}
+	if out, err := exec.Command(bin+"/milletctl", args...).CombinedOutput(); err != nil {
+		t.Errorf("run again: %v, %s", err, out)
+	}
+	if n := have(); n != len(s.clients) {
+		t.Errorf("%d of %d instances have it", n, len(s.clients))
+	}
+	for name, g := range generations {
+		if now := s.direct(name).GetGeneration(); now != g {
+			t.Errorf("%s had it, and was changed again: generation %d, then %d", name, g, now)
+		}
+	}
+}
