--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -89,6 +89,13 @@
 	f.drained = on
 }
 
+// refusing has it refuse changes, or take them again.
+func (f *fake) refusing(why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuse = why
+}
+
 // restart has it come back with another configuration, as one that loads its old file.
 func (f *fake) restart(text []byte) {
 	f.mu.Lock()
@@ -237,9 +244,7 @@
 	}
 	// What the instance cannot take is refused, changes nothing and is not held.
 	for name, text := range map[string][]byte{"not a file": []byte("x = 1"), "port taken": file(3)} {
-		h.fake.mu.Lock()
-		h.fake.refuse = "listener in: address already in use"
-		h.fake.mu.Unlock()
+		h.fake.refusing("listener in: address already in use")
 		reply, err = change(t, c, text, "r1", 2)
 		if err != nil || reply.Refused == "" || reply.Member.Desired != operator.TextHash(file(1)) || reply.Member.Status.Hash != operator.TextHash(file(1)) {
 			t.Errorf("%s: %+v, %v", name, reply, err)
@@ -288,7 +293,7 @@
 
 // An agent that is killed at any write comes back to what its instance reports, and holds just that.
 func TestAgentKilledAtEachWrite(t *testing.T) {
-	for _, write := range []string{"claim", "log", "intend", "settle"} {
+	for _, write := range []string{"claim", "log", "intend", "settle", "drop", "command", "end"} {
 		t.Run(write, func(t *testing.T) {
 			t.Parallel()
 			h := newHost(t)
@@ -310,13 +315,24 @@
 			short, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			c.Claim(short, &agentpb.ClaimRequest{Rollout: "r", Epoch: 2})
 			cancel()
-			change(t, c, file(2), "r", 2) // or 1, if the claim did not come through; either way it dies
+			switch write {
+			case "drop":
+				h.fake.refusing("port taken")
+				change(t, c, file(2), "r", 2)
+			case "command":
+				c.Command(t.Context(), &agentpb.CommandRequest{Rollout: "r", Command: "pause:1"})
+			case "end":
+				c.End(t.Context(), &agentpb.EndRequest{Rollout: "r", Epoch: 2})
+			default:
+				change(t, c, file(2), "r", 2) // where the claim has not killed it already
+			}
 			select {
 			case <-dies:
 			case <-time.After(long):
 				cmd.Process.Kill()
 				t.Fatal("it was not killed")
 			}
+			h.fake.refusing("")
 			c, _ = h.begin(t)
 			until(t, "the third agent holds what the instance runs", func() bool {
 				m := one(c)
