Read the agent's and the tool's files as strictly as the operator file

Their errors named no line, and only the first was told. Both are bound by the operator file's binder now, which takes tables of texts as well; two copies of the reading are gone.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -16,12 +14,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
 	"whinknot/internal/control"
 	"whinknot/internal/control/agentpb"
+	"whinknot/internal/operator"
 )
 
 // Config is an agent's file.
@@ -43,67 +41,50 @@
 	Labels  map[string]string `toml:"labels"`
 }
 
-const maxFile = 4 << 20 // bytes of a configuration file
-
 // LoadConfig reads an agent's file, strictly. Paths are relative to its folder.
 func LoadConfig(path string) (*Config, error) {
-	f, err := os.Open(path)
+	var c Config
+	err := operator.Decode(path, &c, func(complain func(field, text string)) { c.check(filepath.Dir(path), complain) })
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
-	var c Config
-	d := toml.NewDecoder(io.LimitReader(f, maxFile))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			line, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d: %s: unknown key", path, line, strings.Join(strict.Errors[0].Key(), "."))
-		}
-		var at *toml.DecodeError
-		if errors.As(err, &at) {
-			line, _ := at.Position()
-			return nil, fmt.Errorf("%s:%d: %s: %w", path, line, strings.Join(at.Key(), "."), err)
-		}
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	dir := filepath.Dir(path)
-	fix := func(p *string) {
-		if *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(dir, *p)
-		}
-	}
-	fix(&c.State)
-	fix(&c.TLS.CA)
-	fix(&c.TLS.Cert)
-	fix(&c.TLS.Key)
-	if rest, ok := strings.CutPrefix(c.Listen, "unix:"); ok {
-		fix(&rest)
+	return &c, nil
+}
+
+// check completes paths and complains of what cannot be used.
+func (c *Config) check(dir string, complain func(field, text string)) {
+	for _, p := range []*string{&c.State, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key} {
+		operator.Under(dir, p)
+	}
+	rest, unix := strings.CutPrefix(c.Listen, "unix:")
+	if unix {
+		operator.Under(dir, &rest)
 		c.Listen = "unix:" + rest
 	}
-	if c.Name == "" || c.Listen == "" || c.State == "" {
-		return nil, fmt.Errorf("%s: name, listen and state are needed", path)
+	for field, value := range map[string]string{"name": c.Name, "listen": c.Listen, "state": c.State} {
+		if value == "" {
+			complain(field, "is missing")
+		}
 	}
-	if !strings.HasPrefix(c.Listen, "unix:") && c.TLS.Cert == "" {
-		return nil, fmt.Errorf("%s: tls: is needed unless listen is unix:PATH", path)
+	if !unix && (c.TLS.CA == "" || c.TLS.Cert == "" || c.TLS.Key == "") {
+		complain("tls", "ca, cert and key are needed unless listen is unix:PATH")
 	}
 	seen := map[string]bool{}
 	for i := range c.Instances {
-		s := &c.Instances[i]
-		fix(&s.Socket)
-		fix(&s.Config)
-		switch {
-		case s.Name == "" || seen[s.Name] || strings.ContainsAny(s.Name, "/\\"):
-			return nil, fmt.Errorf("%s: instance[%d].name: %q is empty, comes twice or is no name", path, i, s.Name)
-		case s.Socket == "":
-			return nil, fmt.Errorf("%s: instance[%d].socket: is missing", path, i)
-		case len(s.Command) > 0 && s.Config == "":
-			return nil, fmt.Errorf("%s: instance[%d].config: is missing for one that the agent starts", path, i)
+		s, at := &c.Instances[i], fmt.Sprintf("instance[%d]", i)
+		operator.Under(dir, &s.Socket)
+		operator.Under(dir, &s.Config)
+		if s.Name == "" || seen[s.Name] || strings.ContainsAny(s.Name, "/\\") {
+			complain(at+".name", fmt.Sprintf("%q is empty, comes twice or is no name", s.Name))
+		}
+		if s.Socket == "" {
+			complain(at+".socket", "is missing")
+		}
+		if len(s.Command) > 0 && s.Config == "" {
+			complain(at+".config", "is missing, for an instance that the agent starts")
 		}
 		seen[s.Name] = true
 	}
-	return &c, nil
 }
 
 // Agent is one running agent.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -497,8 +497,8 @@
 func TestConfigErrors(t *testing.T) {
 	dir := t.TempDir()
 	for text, want := range map[string]string{
-		"name = \"a\"\nlisen = \"x\"\n": "agent.toml:2: lisen: unknown key",
-		"name = 7\n":                    "agent.toml:1: name",
+		"name = \"a\"\nlisen = \"x\"\n":                                                "agent.toml:2: lisen: unknown key",
+		"name = 7\n[[instance]]\nlabels = { a = 1 }\n":                                 "agent.toml:1: name",
 		"name = \"a\"\nlisten = \"127.0.0.1:1\"\nstate = \"s\"\n":                      "tls",
 		"name = \"a\"\nlisten = \"unix:a\"\nstate = \"s\"\n[[instance]]\nname=\"x\"\n": "socket",
 	} {
--- a/internal/ctl/agents.go
+++ b/internal/ctl/agents.go
@@ -5,8 +5,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"io"
-	"os"
 	"path"
 	"path/filepath"
 	"slices"
@@ -14,13 +12,13 @@
 	"sync"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"whinknot/internal/agent"
 	"whinknot/internal/control/agentpb"
+	"whinknot/internal/operator"
 )
 
 // Config is the tool's file.
@@ -37,44 +35,42 @@
 
 // LoadConfig reads the tool's file, strictly. Paths are relative to its folder.
 func LoadConfig(file string) (*Config, error) {
-	f, err := os.Open(file)
+	var c Config
+	err := operator.Decode(file, &c, func(complain func(field, text string)) { c.check(filepath.Dir(file), complain) })
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
-	var c Config
-	d := toml.NewDecoder(io.LimitReader(f, maxFile))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
-	dir := filepath.Dir(file)
+	return &c, nil
+}
+
+// check completes paths and complains of what cannot be used.
+func (c *Config) check(dir string, complain func(field, text string)) {
 	for _, p := range []*string{&c.TLS.CA, &c.TLS.Cert, &c.TLS.Key} {
-		if *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(dir, *p)
-		}
+		operator.Under(dir, p)
 	}
 	seen := map[string]bool{}
 	for i := range c.Agents {
-		a := &c.Agents[i]
-		if a.Name == "" || a.Address == "" || seen[a.Name] {
-			return nil, fmt.Errorf("%s: agent[%d]: needs an address and a name of its own", file, i)
+		a, at := &c.Agents[i], fmt.Sprintf("agent[%d]", i)
+		if a.Name == "" || seen[a.Name] {
+			complain(at+".name", fmt.Sprintf("%q is empty or comes twice", a.Name))
+		}
+		if a.Address == "" {
+			complain(at+".address", "is missing")
 		}
 		seen[a.Name] = true
-		if rest, ok := strings.CutPrefix(a.Address, "unix:"); ok && !filepath.IsAbs(rest) {
-			a.Address = "unix:" + filepath.Join(dir, rest)
+		if rest, ok := strings.CutPrefix(a.Address, "unix:"); ok {
+			operator.Under(dir, &rest)
+			a.Address = "unix:" + rest
+		} else if c.TLS.CA == "" || c.TLS.Cert == "" || c.TLS.Key == "" {
+			complain("tls", "ca, cert and key are needed for an agent that is not at unix:PATH")
 		}
 	}
 	if len(c.Agents) == 0 {
-		return nil, fmt.Errorf("%s: no agent is named", file)
+		complain("agent", "there is none")
 	}
-	return &c, nil
 }
 
-const (
-	maxMessage = 16 << 20
-	maxFile    = 4 << 20
-)
+const maxMessage = 16 << 20
 
 // AskTime is how long an agent has to answer a question.
 const AskTime = 3 * time.Second
--- a/internal/operator/bind.go
+++ b/internal/operator/bind.go
@@ -141,6 +141,18 @@
 		for i, v := range list {
 			b.value(fmt.Sprintf("%s[%d]", path, i), v, to.Index(i))
 		}
+	case reflect.Map: // of texts, by name
+		table, ok := from.(map[string]any)
+		if !ok {
+			wrong("a table")
+			return
+		}
+		to.Set(reflect.MakeMap(to.Type()))
+		for _, key := range slices.Sorted(maps.Keys(table)) {
+			v := reflect.New(to.Type().Elem()).Elem()
+			b.value(join(path, key), table[key], v)
+			to.SetMapIndex(reflect.ValueOf(key), v)
+		}
 	case reflect.Struct:
 		if v, ok := from.(map[string]any); ok {
 			b.table(path, v, to)
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash"
 	"net"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -289,9 +288,7 @@
 			c.complain(at+".path", errors.New("is missing: a file of servers"))
 			return
 		}
-		if !filepath.IsAbs(s.Path) {
-			s.Path = filepath.Join(c.folder, s.Path)
-		}
+		Under(c.folder, &s.Path)
 		servers, text, err := loadServers(s.Path, p.Zones)
 		if err != nil {
 			var all Errors
--- a/internal/operator/load.go
+++ b/internal/operator/load.go
@@ -148,6 +148,27 @@
 	return f.Servers, d.err()
 }
 
+// Decode reads another file of the program's as strictly: into a struct with toml tags, with all that is wrong told by line
+// and field. Check goes over what was read and complains of fields by their path; it may be nil.
+func Decode(path string, to any, check func(complain func(field, text string))) error {
+	text, err := read(path)
+	if err != nil {
+		return err
+	}
+	d := &document{name: path}
+	if d.decode(text, to) && check != nil {
+		check(func(field, text string) { d.complain(field, errors.New(text)) })
+	}
+	return d.err()
+}
+
+// Under makes a path relative to a folder one of its own; an empty one stays empty.
+func Under(dir string, path *string) {
+	if *path != "" && !filepath.IsAbs(*path) {
+		*path = filepath.Join(dir, *path)
+	}
+}
+
 // document collects what is wrong in one file.
 type document struct {
 	name  string
