--- a/cmd/milletctl/command.go
+++ b/cmd/milletctl/command.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"whinknot/internal/control/agentpb"
@@ -277,6 +278,9 @@
 			}
 			list, at, quiet := ctl.Chosen(t.agents.Ask(ctx, false), &sel)
 			if len(list) == 0 {
+				if err := silent(cmd, quiet); err != nil {
+					return err
+				}
 				return fmt.Errorf("%s: no instance is selected", use)
 			}
 			var rows [][]string
@@ -287,6 +291,8 @@
 				cancel()
 				result, text := "confirmed", ""
 				switch {
+				case status.Code(err) == codes.PermissionDenied, status.Code(err) == codes.FailedPrecondition:
+					result, text, code = "refused", status.Convert(err).Message(), exitNot
 				case err != nil:
 					result, text, code = "not known", status.Convert(err).Message(), exitUnknown
 				case reply.Refused != "":
