Have one piece of code serve both intakes, streams, lists and descriptor limits

A reading of the whole change found the same logic twice. Deadline, tenant, hint and key of a head are read in describe.go for the platform's and the operators' requests; a body's first part and its trailers by one reader for both directions; a discovery is wired to a loop in one place; and the descriptors are divided by operator.Divide for both modes. The depth of a prefix is known when the table is compiled and no longer worked out for each rewritten request. State that nothing read is gone: two fields of the agent's messages, a command's number, the hash before a change, and one of the rollout's. Behaviour is as before; no test was changed.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -86,7 +86,7 @@
 
 func told(l Ledger) *agentpb.Ledger {
 	return &agentpb.Ledger{
-		Rollout: l.Rollout, Epoch: l.Epoch, Target: l.Target, Command: l.Command, CommandNumber: l.Number, Ended: l.Ended, Plan: l.Plan,
+		Rollout: l.Rollout, Epoch: l.Epoch, Target: l.Target, Command: l.Command, Ended: l.Ended, Plan: l.Plan,
 	}
 }
 
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -21,10 +21,7 @@
 }
 
 // Desired is the configuration that an agent holds for an instance.
-type Desired struct {
-	Hash   string
-	Before string // the hash that it replaced
-}
+type Desired struct{ Hash string }
 
 // Intent is a change that has been sent, or is about to be, and whose result is not known.
 type Intent struct {
@@ -34,7 +31,7 @@
 // Ledger is the rollout that an agent knows of.
 type Ledger struct {
 	Rollout, Target, Plan, Command, Result string
-	Epoch, Number                          uint64
+	Epoch                                  uint64
 	Ended                                  bool
 }
 
@@ -162,16 +159,7 @@
 // Settle ends a change: by what the instance has said, it runs this configuration, which is held for it from now on.
 func (s *Store) Settle(name, hash string) error {
 	return s.update("settle", func(tx *bbolt.Tx) error {
-		d := Desired{}
-		if text := tx.Bucket(bucketDesired).Get([]byte(name)); text != nil {
-			if err := json.Unmarshal(text, &d); err != nil {
-				return err
-			}
-		}
-		if d.Hash != hash {
-			d = Desired{Hash: hash, Before: d.Hash}
-		}
-		if err := put(tx, bucketDesired, []byte(name), d); err != nil {
+		if err := put(tx, bucketDesired, []byte(name), Desired{Hash: hash}); err != nil {
 			return err
 		}
 		return tx.Bucket(bucketIntents).Delete([]byte(name))
@@ -251,7 +239,6 @@
 			return fmt.Errorf("rollout %q is not under way", rollout)
 		}
 		l.Command = command
-		l.Number++
 		return put(tx, bucketMeta, keyLedger, l)
 	})
 	return l, err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -177,8 +177,7 @@
 	asked    float64 // when it was last asked
 	verified bool    // heard of since verifying began
 	base     Health  // at its first report
-	baseP99  float64
-	changed  Health // at its change
+	changed  Health  // at its change
 	health   Health
 }
 
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -21,7 +21,6 @@
 	maxServers   = 20_000
 	maxTime      = time.Hour
 	maxAttempts  = 4
-	LeastSockets = 64 // fewer leave none for callers and servers
 	leastMemory  = 16 << 20
 )
 
--- a/internal/operator/shares.go
+++ b/internal/operator/shares.go
@@ -2,20 +2,25 @@
 
 import "math"
 
-// reserved descriptors are for the runtime, standard streams, sources and what is on its way.
-func (c *Config) reserved() int {
-	return 16 + c.Limits.Sockets/32 + len(c.Listeners) + 2*len(c.Pools)
-}
-
-const callerPart = 0.6 // of the other descriptors; servers get the rest
+const (
+	// LeastSockets is the smallest descriptor limit that leaves some for callers and for servers.
+	LeastSockets = 64
+	callerPart   = 0.6 // of the descriptors that are not reserved; servers get the rest
+)
 
-// Descriptors tells how many connections callers may hold and how many there may be to servers, all pools together.
-func (c *Config) Descriptors() (callers, servers int) {
-	free := max(c.Limits.Sockets-c.reserved(), 0)
+// Divide tells how many connections callers may hold and how many there may be to servers, under a limit of descriptors.
+// Some are reserved: for the runtime, standard streams, a listener, a source and what is on its way, and those beside.
+func Divide(sockets, beside int) (callers, servers int) {
+	free := max(sockets-16-sockets/32-beside, 0)
 	callers = int(callerPart * float64(free))
 	return callers, free - callers
 }
 
+// Descriptors divides those of a file, all its listeners and pools together.
+func (c *Config) Descriptors() (callers, servers int) {
+	return Divide(c.Limits.Sockets, len(c.Listeners)+2*len(c.Pools))
+}
+
 // Allocate deals n descriptors out to pools: each gets its least, and the rest goes by weight. The shares sum to n, or to
 // less where no pool has a weight; a pool whose promise cannot be kept has to be refused before.
 func Allocate(n int, pools []Share) []int {
--- a/internal/route/outcome.go
+++ b/internal/route/outcome.go
@@ -2,17 +2,13 @@
 
 import "strings"
 
-// Rewritten gives the path that goes to the server of a request that matched this rule.
+// Rewritten gives the path that goes to the server of a request that matched this rule of a table.
 func (r *Rule) Rewritten(p *Path) string {
 	if !r.Rewrite.Strip {
 		return p.Raw
 	}
-	prefix, err := Normalize(r.Path)
-	if err != nil {
-		return p.Raw // a compiled rule has a sound path
-	}
 	rest := p.Raw
-	for range strings.Count(strings.TrimSuffix(prefix.Match, "/"), "/") { // segments keep their parameters: they are counted
+	for range r.depth { // segments keep their parameters: they are counted
 		if i := strings.IndexByte(rest[1:], '/'); i >= 0 {
 			rest = rest[1+i:]
 		} else {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -76,6 +76,8 @@
 	Pool, Class string // for the caller; not looked at here
 	Rewrite     Rewrite
 	Answer      *Answer // instead of a pool
+
+	depth int // segments of a prefix, in a compiled rule
 }
 
 // Request is what a look-up sees of a request. Path is what Normalize made of its target.
@@ -101,7 +103,6 @@
 	*Rule
 	index   int
 	path    string // as it is compared
-	depth   int    // segments of a prefix
 	pattern *regexp.Regexp
 	host    string // without "*.", lower case
 	wild    bool   // host is a suffix
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -135,6 +135,21 @@
 	end   func() // ends that one
 }
 
+// newDiscovery makes one that tells a loop, which holds the list of a version; 0 for none.
+func newDiscovery(l *loop, addr string, rev int64) *discovery {
+	return &discovery{
+		addr: addr, rev: rev, silence: watchSilence,
+		tell: func(list List) {
+			kind := whinknot.ListDelta
+			if list.All {
+				kind = whinknot.ListFull
+			}
+			l.post(func() { l.list(list, kind) })
+		},
+		failed: func() { l.post(l.listFailed) },
+	}
+}
+
 // move has the next watches made at another address and tells whether it is one.
 func (d *discovery) move(addr string) bool {
 	d.mu.Lock()
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -52,21 +52,15 @@
 // newFront makes the platform's front for at most so many callers' connections.
 func newFront(l *loop, set *whinknot.Settings, most int) *front {
 	f := &front{
-		loop: l, set: set, classes: map[string]uint16{}, tenants: map[string]uint16{}, accept: acceptTime,
-		quiet: quietTime, callers: newCallers(most),
+		loop: l, set: set, accept: acceptTime, quiet: quietTime, callers: newCallers(most),
 	}
+	f.classes, f.tenants = indexes(set)
 	f.intake = f.platform
 	f.usable = func() bool {
 		usable := 0
 		l.ask(func() { usable = l.usable })
 		return usable > 0
 	}
-	for i, c := range set.Classes {
-		f.classes[c.Name] = uint16(i)
-	}
-	for i, t := range set.Tenants {
-		f.tenants[t.Name] = uint16(i)
-	}
 	return f
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -220,7 +220,7 @@
 
 // take begins a request that has come whole.
 func (l *loop) take(c *call) {
-	if c.id != "" && l.ids[c.id] {
+	if l.ids[c.id] {
 		c.reply(answer{status: http.StatusConflict, body: []byte("a request with this X-Request-Id is open\n")})
 		return
 	}
@@ -351,9 +351,7 @@
 		return
 	}
 	delete(l.calls, c.event.Request)
-	if c.id != "" {
-		delete(l.ids, c.id)
-	}
+	delete(l.ids, c.id)
 	if c.backstop != nil && c.backstop.place >= 0 {
 		heap.Remove(&l.agenda, c.backstop.place)
 	}
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -2,11 +2,7 @@
 
 import (
 	"fmt"
-	"hash/fnv"
-	"io"
-	"math"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"whinknot"
@@ -57,31 +53,13 @@
 		return nil, http.StatusRequestEntityTooLarge, "the body is over 64 KiB"
 	}
 	wait := class.GiveUp / 1000
-	if text := h.Get("X-Deadline"); text != "" {
-		left, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(left > 0) || math.IsInf(left, 0) {
-			return nil, http.StatusBadRequest, "X-Deadline is no time"
-		}
-		wait = min(wait, left)
-	}
-	hint, err := strconv.ParseFloat(h.Get("X-Cost-Hint"), 64)
-	if err != nil {
-		hint = 0
-	}
-	tenant, ok := f.tenants[h.Get("X-Tenant")]
+	left, told, ok := deadline(h)
 	if !ok {
-		tenant = uint16(len(f.tenants)) // one without a quota
-	}
-	k = &call{
-		event: whinknot.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
-		wait:  lessMargin(wait),
-		id:    h.Get("X-Request-Id"),
-	}
-	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
-		sum := fnv.New64a()
-		io.WriteString(sum, cookie.Value)
-		k.event.Key = sum.Sum64()
+		return nil, http.StatusBadRequest, badDeadline
+	} else if told {
+		wait = min(wait, left)
 	}
+	k = &call{event: describe(index, h, f.tenants), wait: lessMargin(wait), id: h.Get("X-Request-Id")}
 	k.out = outgoing{start: fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", method, uri, h.Get("Host")), header: endToEnd(h)}
 	h.Del("Host")
 	return k, 0, ""
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -31,7 +31,7 @@
 // newPool makes a pool that may hold so many connections. It does nothing before start.
 func newPool(spec *operator.Pool, most int, counted *ledger) (*pool, error) {
 	p := &pool{
-		name: spec.Name, spec: *spec, set: spec.Settings(), classes: map[string]uint16{}, tenants: map[string]uint16{},
+		name: spec.Name, spec: *spec, set: spec.Settings(),
 		running: make(chan struct{}),
 		bounds:  bodies{idle: time.Duration(spec.StreamIdle), total: time.Duration(spec.StreamTime)},
 	}
@@ -42,12 +42,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("pool %s: %w", spec.Name, err)
 	}
-	for i, c := range p.set.Classes {
-		p.classes[c.Name] = uint16(i)
-	}
-	for i, t := range p.set.Tenants {
-		p.tenants[t.Name] = uint16(i)
-	}
+	p.classes, p.tenants = indexes(&p.set)
 	return p, nil
 }
 
--- a/internal/sidecar/routed.go
+++ b/internal/sidecar/routed.go
@@ -2,13 +2,9 @@
 
 import (
 	"fmt"
-	"hash/fnv"
-	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -77,32 +73,17 @@
 	}
 	wait := spec.GiveUp / 1000
 	longer := wait + bounds.total.Seconds() // the time that a streamed body takes is its caller's
-	if text := h.Get("X-Deadline"); text != "" {
-		left, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(left > 0) || math.IsInf(left, 0) {
-			return nil, http.StatusBadRequest, "X-Deadline is no time"
-		}
+	left, told, ok := deadline(h)
+	if !ok {
+		return nil, http.StatusBadRequest, badDeadline
+	} else if told {
 		wait, longer = min(wait, left), min(longer, left)
 		bounds.total = min(bounds.total, seconds(left)) // a streamed answer ends by it
 	}
-	tenant, ok := p.tenants[h.Get("X-Tenant")]
-	if !ok {
-		tenant = uint16(len(p.tenants)) // one without a quota
-	}
-	hint, err := strconv.ParseFloat(h.Get("X-Cost-Hint"), 64)
-	if err != nil {
-		hint = 0
-	}
 	k = &call{
-		event: whinknot.Event{Class: class, Tenant: tenant, Hint: hint / 1000},
-		wait:  lessMargin(wait), longer: lessMargin(longer),
+		event: describe(class, h, p.tenants), wait: lessMargin(wait), longer: lessMargin(longer),
 		out: outgoing{open: true, bounds: bounds, within: millis(lessMargin(wait))},
 	}
-	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
-		sum := fnv.New64a()
-		io.WriteString(sum, cookie.Value)
-		k.event.Key = sum.Sum64()
-	}
 	id := h.Get("X-Request-Id")
 	k.out.header = endToEnd(h)
 	k.out.header.Del("Host")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"whinknot"
+	"whinknot/internal/operator"
 	"whinknot/internal/wire"
 )
 
@@ -23,13 +24,9 @@
 }
 
 // LeastSockets is the smallest descriptor limit that leaves some for callers and for endpoints.
-const LeastSockets = 64
-
-// reserved descriptors are for the runtime, standard streams, the listener, discovery and those on their way.
-func reserved(sockets int) int { return 16 + sockets/32 }
+const LeastSockets = operator.LeastSockets
 
 const (
-	callerPart = 0.6  // of the other descriptors; endpoints get the rest
 	killAfter  = 0.7  // seconds from the longest deadline to SIGKILL
 	killMost   = 3.0  // longest deadline that SIGKILL waits for
 	exitBefore = 0.35 // seconds before SIGKILL at which what is left is given up
@@ -47,24 +44,14 @@
 
 // New checks what the sidecar is told and opens its listener; requests wait there until Run.
 func New(cfg Config) (*Sidecar, error) {
-	free := cfg.Sockets - reserved(cfg.Sockets)
-	s := &Sidecar{cfg: cfg, callers: int(callerPart * float64(free))}
+	callers, endpoints := operator.Divide(cfg.Sockets, 0)
+	s := &Sidecar{cfg: cfg, callers: callers}
 	set := &s.cfg.Site.Settings
 	var err error
-	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, set.Safety.DrainGrace, free-s.callers)); err != nil {
+	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, set.Safety.DrainGrace, endpoints)); err != nil {
 		return nil, err
 	}
-	s.discovery = &discovery{
-		addr: cfg.Discovery, rev: cfg.Known.Rev, silence: watchSilence,
-		tell: func(list List) {
-			kind := whinknot.ListDelta
-			if list.All {
-				kind = whinknot.ListFull
-			}
-			s.loop.post(func() { s.loop.list(list, kind) })
-		},
-		failed: func() { s.loop.post(s.loop.listFailed) },
-	}
+	s.discovery = newDiscovery(s.loop, cfg.Discovery, cfg.Known.Rev)
 	s.front = newFront(s.loop, set, s.callers)
 	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"whinknot"
 	"whinknot/internal/operator"
 )
 
@@ -26,18 +25,7 @@
 		w := fileWatch{path: spec.Source.Path, every: time.Duration(spec.Source.Every), zones: spec.Zones, tell: p.tell}
 		s.running.Go(func() { w.follow(ctx) })
 	case "discovery":
-		l := p.loop
-		d := &discovery{
-			addr: spec.Source.Address, silence: watchSilence,
-			tell: func(list List) {
-				kind := whinknot.ListDelta
-				if list.All {
-					kind = whinknot.ListFull
-				}
-				l.post(func() { l.list(list, kind) })
-			},
-			failed: func() { l.post(l.listFailed) },
-		}
+		d := newDiscovery(p.loop, spec.Source.Address, 0)
 		s.running.Go(func() { d.follow(ctx) })
 	}
 	return s
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -16,10 +17,7 @@
 // Bodies of over maxBody are not held: they stream through a buffer of bounded size, once. A request whose body streams
 // cannot be sent again once its server may have had a byte of it, and the module is told so.
 
-const (
-	streamPart = 32 << 10 // bytes held of a streamed body, each way
-	smallPart  = 4 << 10  // of a body whose length is not told, to begin with
-)
+const streamPart = 32 << 10 // bytes held of a streamed body, each way
 
 // bodies are the bounds within which bodies stream.
 type bodies struct {
@@ -41,24 +39,49 @@
 		up.from = &exactly{c.reader, length}
 		return nil, up, nil
 	}
-	up.from = httputil.NewChunkedReader(c.reader)
-	first := make([]byte, 0, smallPart)
-	for {
+	up.from = newTrailed(c.reader)
+	first, rest, err := readFirst(up)
+	if rest == nil {
+		up = nil // it has come whole, or cannot be read
+	}
+	return first, up, err
+}
+
+// readFirst reads a body whole, if it is short, or its first part and gives the rest.
+func readFirst(body io.Reader) (first []byte, rest io.Reader, err error) {
+	first = make([]byte, 0, firstPart)
+	for len(first) < maxBody {
 		if len(first) == cap(first) {
-			if len(first) >= maxBody {
-				return first, up, nil
-			}
 			first = append(make([]byte, 0, min(4*cap(first), maxBody)), first...)
 		}
-		n, err := up.Read(first[len(first):cap(first)])
+		n, err := body.Read(first[len(first):cap(first)])
 		first = first[:len(first)+n]
-		switch {
-		case err == io.EOF:
+		if err == io.EOF {
 			return first, nil, nil
-		case err != nil:
+		}
+		if err != nil {
 			return nil, nil, err
 		}
 	}
+	return first, body, nil
+}
+
+// trailed reads a chunked body and the trailers behind it, which nobody asked for.
+type trailed struct {
+	body  io.Reader
+	lines *bufio.Reader
+}
+
+func newTrailed(r *bufio.Reader) *trailed { return &trailed{httputil.NewChunkedReader(r), r} }
+
+func (t *trailed) Read(p []byte) (int, error) {
+	n, err := t.body.Read(p)
+	if err == io.EOF {
+		if _, bad := readLines(t.lines); bad != nil {
+			return n, bad
+		}
+	}
+	return n, err
 }
 
 // exactly reads so many bytes; an end before is an error.
@@ -119,11 +142,6 @@
 	if up.read += int64(n); up.read > up.bounds.most {
 		return n, errTooLong
 	}
-	if err == io.EOF && up.length == chunked {
-		if _, bad := readLines(up.c.reader); bad != nil { // trailers, which nobody asked for
-			return n, bad
-		}
-	}
 	return n, err
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"os"
 	"slices"
 	"strings"
@@ -286,7 +285,7 @@
 	case m.length == untold: // it may have been cut off
 		return whinknot.Reset, nil, false
 	case m.length == chunked:
-		got.body, rest, err = firstPartOf(httputil.NewChunkedReader(c.reader), c.reader)
+		got.body, rest, err = readFirst(newTrailed(c.reader))
 	case m.length > maxBody:
 		rest = &exactly{c.reader, m.length}
 	default:
@@ -318,42 +317,6 @@
 	return whinknot.OK, got, keep
 }
 
-// firstPartOf reads a chunked body whole, if it is short, or its first part and gives the rest.
-func firstPartOf(body io.Reader, lines *bufio.Reader) ([]byte, io.Reader, error) {
-	rest := &trailed{body, lines}
-	first := make([]byte, 0, firstPart)
-	for len(first) < maxBody {
-		if len(first) == cap(first) {
-			first = append(make([]byte, 0, min(4*cap(first), maxBody)), first...)
-		}
-		n, err := rest.Read(first[len(first):cap(first)])
-		first = first[:len(first)+n]
-		if err == io.EOF {
-			return first, nil, nil
-		}
-		if err != nil {
-			return nil, nil, err
-		}
-	}
-	return first, rest, nil
-}
-
-// trailed reads a chunked body and the trailers behind it, which nobody asked for.
-type trailed struct {
-	body  io.Reader
-	lines *bufio.Reader
-}
-
-func (t *trailed) Read(p []byte) (int, error) {
-	n, err := t.body.Read(p)
-	if err == io.EOF {
-		if _, bad := readLines(t.lines); bad != nil {
-			return n, bad
-		}
-	}
-	return n, err
-}
-
 // brokenOff names the outcome of an exchange that ended with an error: called off, out of time, or broken.
 // A request that was not written whole never ran, whatever stopped it.
 func brokenOff(a *attempt, err error, broken whinknot.Outcome) whinknot.Outcome {
