Replace errors by pages and named locations, within what a request's class allows

An imported error_page was dropped, and with it whatever a site did for a pool that is down.

Package vhost decides what stands in for an error (page, named location, redirect), with nginx's inheritance and statuses; the sidecar makes the second call within what the first has left: four attempts over both pools, the caller's own time, the retries of the tree. What may have run goes on to a named location only if its class is safe in both pools; a page is a GET of its own. Named and internal locations and proxy_intercept_errors are carried over too.

Tests: tables of the decision, faults of both pools over sockets (an unsafe request that may have run reaches the spare server in no case), an imported configuration against the documentation's answers.

--- a/internal/nginx/emit.go
+++ b/internal/nginx/emit.go
@@ -228,6 +228,14 @@
 			t.marks.set(d, Carried, hosts, "")
 		}
 		t.steps(w, "site.step", b.steps)
+		t.pages(w, "site.error", b.pages)
+		if d := b.recursive; d != nil {
+			if len(d.Args) == 1 && d.Args[0].Text == "off" {
+				t.marks.set(d, Carried, line, "")
+			} else {
+				t.marks.set(d, Dropped, 0, "what stands in for an error is not replaced in its turn")
+			}
+		}
 		t.locations(w, "site.location", b.locations)
 		w.put("")
 	}
@@ -253,6 +261,9 @@
 		if p.from != nil {
 			t.marks.set(p.from, Carried, line, "")
 		}
+		if p.internal != nil {
+			t.marks.set(p.internal, Carried, w.put("internal = true"), "")
+		}
 		if x := p.proxy; x != nil {
 			at := w.put("pool = %s", text(x.pool.name))
 			w.put("class = %s", text(className("read", x.read)))
@@ -270,6 +281,13 @@
 			if p.body != nil {
 				t.marks.set(p.body, Carried, at, "")
 			}
+			if d := p.intercept; d != nil {
+				at := line
+				if len(d.Args) == 1 && d.Args[0].Text == "on" {
+					at = w.put("intercept = true")
+				}
+				t.marks.set(d, Carried, at, "")
+			}
 			for i, h := range x.headers {
 				if i == 0 {
 					w.put("headers = [")
@@ -284,6 +302,7 @@
 			}
 		}
 		t.steps(w, table+".step", p.steps)
+		t.pages(w, table+".error", p.pages)
 		t.locations(w, table+".location", p.locations)
 	}
 }
--- a/internal/nginx/import_test.go
+++ b/internal/nginx/import_test.go
@@ -103,7 +103,7 @@
         location ~ (?=x) { proxy_pass http://shelf; }
         location = /up { proxy_pass http://127.0.0.1:9006/$up; }
         location = /lua { content_by_lua_block { ngx.say("x") } }
-        location @later { proxy_pass http://shelf; }
+        location @later { proxy_pass http://127.0.0.1:9007; }
         error_page 502 @later;
         limit_req zone=a;
     }
@@ -122,8 +122,8 @@
 		"proxy_pass http://shelf": Carried, "proxy_next_upstream error": Differs, "proxy_next_upstream_tries": Carried,
 		"proxy_pass http://box": Carried, "proxy_read_timeout 30": Differs, "proxy_set_header Connection": Dropped,
 		"proxy_pass http://127.0.0.1:9005": Carried, "if": Dropped, "return 405": Dropped, "root": Dropped, "proxy_pass http://unix:": Dropped,
-		"location ~ (?=x)": Dropped, "proxy_pass http://127.0.0.1:9006": Carried, "content_by_lua_block": Dropped, "location @later": Dropped,
-		"error_page": Dropped, "limit_req": Dropped, "server_name shop.example.org other": Dropped, "return 301": Carried,
+		"location ~ (?=x)": Dropped, "proxy_pass http://127.0.0.1:9006": Carried, "content_by_lua_block": Dropped, "location @later": Carried,
+		"error_page": Carried, "limit_req": Dropped, "server_name shop.example.org other": Dropped, "return 301": Carried,
 		"proxy_pass http://$backend": Dropped, "resolver": Dropped, "client_max_body_size": Carried, "proxy_read_timeout 5s": Differs,
 	} {
 		if e := r.fate(t, begins); e.Fate != want || want == Carried && e.Output == 0 {
@@ -222,6 +222,7 @@
 	f.Add("map $a $a { default $a; } server { location / { proxy_pass http://$a; } }")
 	f.Add("map $a $a { default $a$a$a$a; } map $b $c { default $a$a$a; } server { location / { proxy_pass http://$a$c; } }")
 	f.Add("server { location /a { location /b { } } location ~ x { location = x { return 200 $1; } } }")
+	f.Add("error_page 404 =200 /x; server { error_page 500 501 @a; location @a { internal; location ~ b { } } location @b { error_page 1 = @c; } }")
 	f.Add("server { listen unix:/x; server_name .a *.a a; rewrite (x) $1$is_args$args? last; break; return 444; }")
 	f.Fuzz(func(t *testing.T, text string) {
 		list, err := Parse("f", text)
@@ -250,3 +251,52 @@
 		})
 	}
 }
+
+// Error pages are carried with their levels, named locations and statuses, and told where they cannot be.
+func TestImportErrorPages(t *testing.T) {
+	out, r := imported(t, `error_page 500 /all.html;
+proxy_intercept_errors on;
+server {
+    listen 8080;
+    recursive_error_pages off;
+    error_page 404 410 = /missing?of=$uri;
+    error_page 502 503 @later;
+    error_page 401 =200 /in.html;
+    error_page 402 =301 https://pay.example/$host;
+    error_page 403 @never;
+    error_page 413 /large.html;
+    error_page 405 =204 /x;
+    error_page 406 =200 https://no.example/;
+    error_page nonsense /x;
+    error_page 407 $unknown;
+    location / { proxy_pass http://127.0.0.1:9001; }
+    location /own/ { error_page 504 /slow.html; proxy_intercept_errors off; proxy_pass http://127.0.0.1:9001; location /own/in { proxy_pass http://127.0.0.1:9001; } }
+    location = /in.html { internal; return 200 "in\n"; }
+    location @later { proxy_pass http://127.0.0.1:9002; location ~ /x { } }
+    location @uri { proxy_pass http://127.0.0.1:9002/x; }
+    location /deep { location @no { return 200; } }
+}
+server { listen 8081; recursive_error_pages on; location / { proxy_pass http://127.0.0.1:9001; } }
+`)
+	for begins, want := range map[string]Fate{
+		"error_page 500": Carried, "proxy_intercept_errors on": Carried, "proxy_intercept_errors off": Carried, "recursive_error_pages off": Carried,
+		"recursive_error_pages on": Dropped, "error_page 404": Carried, "error_page 502": Carried, "error_page 401": Carried, "error_page 402": Carried,
+		"error_page 403": Dropped, "error_page 413": Differs, "error_page 405": Dropped, "error_page 406": Dropped, "error_page nonsense": Dropped,
+		"error_page 407": Dropped, "error_page 504": Carried, "internal": Carried, "location @later": Carried, "location @no": Dropped,
+		"proxy_pass http://127.0.0.1:9002/x": Dropped, "location ~ /x": Dropped,
+	} {
+		if e := r.fate(t, begins); e.Fate != want || want == Carried && e.Output == 0 {
+			t.Errorf("%s: %s at %d (%s), want %s", begins, e.Fate, e.Output, e.Note, want)
+		}
+	}
+	for want, times := range map[string]int{
+		"codes = [500]\npage = \"/all.html\"": 1, "codes = [404, 410]\nown_status = true\npage = \"/missing?of={path}\"": 1,
+		"codes = [502, 503]\nnamed = \"later\"": 1, "codes = [401]\nstatus = 200\npage = \"/in.html\"": 1,
+		"codes = [402]\nstatus = 301\nredirect = \"https://pay.example/{host}\"": 1, "codes = [504]\npage = \"/slow.html\"": 1,
+		"internal = true": 1, "named = \"later\"\npool": 1, "intercept = true": 3,
+	} {
+		if n := strings.Count(out, want); n != times {
+			t.Errorf("%d times, want %d: %s in\n%s", n, times, want, out)
+		}
+	}
+}
--- a/internal/nginx/level.go
+++ b/internal/nginx/level.go
@@ -15,6 +15,7 @@
 	names    map[string]bool // of locations
 	site     *serverBlock
 	listener *listenerPlan
+	pending  []pendingPages // to be translated once all locations are known
 }
 
 var locationFields = map[string]string{"": "begins", "=": "exact", "^~": "only", "~": "regex", "~*": "regex_any"}
@@ -61,7 +62,7 @@
 	}
 	locations = append(locations, l.slashes(locations, taken)...)
 	for _, k := range d.Body {
-		if l.marks[k] == nil && !inherits(k.Name) && k.Name != "proxy_pass" {
+		if l.marks[k] == nil && !inherits(k.Name) && k.Name != "proxy_pass" && !(k.Name == "internal" && parent != nil) {
 			l.drop(k, advice(k.Name))
 		}
 	}
@@ -85,7 +86,8 @@
 func inherits(name string) bool {
 	switch name {
 	case "proxy_connect_timeout", "proxy_read_timeout", "proxy_next_upstream", "proxy_next_upstream_tries", "proxy_next_upstream_timeout",
-		"client_max_body_size", "proxy_set_header", "ssl_certificate", "ssl_certificate_key":
+		"client_max_body_size", "proxy_set_header", "ssl_certificate", "ssl_certificate_key",
+		"error_page", "proxy_intercept_errors", "recursive_error_pages":
 		return true
 	}
 	return false
@@ -141,12 +143,22 @@
 	}
 	field, ok := locationFields[modifier]
 	switch {
-	case strings.HasPrefix(path, "@"):
-		l.drop(d, "named locations are reached by error_page and try_files only, which have no counterpart")
-		return nil
+	case modifier == "" && strings.HasPrefix(path, "@"):
+		if parent != nil {
+			l.drop(d, "named locations stand in a server, not within a location")
+			return nil
+		}
+		field, path = "named", path[1:]
+		if path == "" {
+			l.drop(d, "the location cannot be read")
+			return nil
+		}
 	case !ok || path == "":
 		l.drop(d, "the location cannot be read")
 		return nil
+	case parent != nil && parent.field == "named":
+		l.drop(d, "a named location holds no others")
+		return nil
 	case strings.HasPrefix(field, "regex"):
 		re, err := expression(path)
 		if err != nil {
@@ -164,10 +176,18 @@
 	p.body, p.bodySize = set.body, set.bodySize
 	p.steps, p.locations = l.body(d, set, &s, p)
 	for _, k := range d.Body {
-		if k.Name == "proxy_pass" {
+		switch k.Name {
+		case "proxy_pass":
 			l.proxy(p, k, &set, s)
+		case "internal":
+			p.internal = k
+			l.marks.set(k, Carried, 0, "")
 		}
 	}
+	p.intercept = set.intercept
+	if own := named(d.Body, "error_page"); own != nil {
+		l.errorPages(&p.pages, own, s)
+	}
 	lost := func(k *Directive) bool { return l.marks[k] != nil && l.marks[k].Fate == Dropped }
 	passes := slices.ContainsFunc(d.Body, func(k *Directive) bool { return k.Name == "proxy_pass" })
 	if p.proxy == nil && (passes || len(p.steps) == 0) {
@@ -307,8 +327,8 @@
 			return
 		}
 		out.target = target
-	case strings.HasPrefix(p.field, "regex"):
-		l.drop(d, "a URI without variables is not allowed in a location with an expression")
+	case strings.HasPrefix(p.field, "regex"), p.field == "named":
+		l.drop(d, "a URI without variables is not allowed in a location with an expression or a name")
 		return
 	case strings.ContainsAny(uri, "?#"):
 		l.drop(d, "the URI holds a query, which would come before the rest of the path")
--- a/internal/nginx/translate.go
+++ b/internal/nginx/translate.go
@@ -36,6 +36,8 @@
 	bodySize              int64
 	attempts              int
 	certificate, key      *Directive
+	pages                 []*Directive // error_page: those of the innermost level that has any
+	intercept, recursive  *Directive
 }
 
 type poolPlan struct {
@@ -71,6 +73,8 @@
 	hosts     []string
 	listeners []*listenerPlan
 	steps     []stepPlan
+	pages     []pagePlan
+	recursive *Directive
 	locations []*locationPlan
 }
 
@@ -89,6 +93,9 @@
 	body      *Directive
 	bodySize  int64
 	locations []*locationPlan
+
+	pages               []pagePlan
+	intercept, internal *Directive
 }
 
 type proxyPlan struct {
@@ -189,7 +196,7 @@
 
 // settings reads what a level sets, over what it inherits.
 func (t *translator) settings(list []*Directive, s settings) settings {
-	var headers []*Directive
+	var headers, pages []*Directive
 	for _, d := range list {
 		value := ""
 		if len(d.Args) > 0 {
@@ -237,6 +244,12 @@
 				continue
 			}
 			headers = append(headers, d)
+		case "error_page":
+			pages = append(pages, d)
+		case "proxy_intercept_errors":
+			s.intercept = d
+		case "recursive_error_pages":
+			s.recursive = d
 		case "ssl_certificate":
 			s.certificate = d
 		case "ssl_certificate_key":
@@ -246,6 +259,9 @@
 	if headers != nil {
 		s.headers = headers
 	}
+	if pages != nil {
+		s.pages = pages
+	}
 	return s
 }
 
@@ -381,7 +397,11 @@
 	t.siteNames[b.name] = true
 	t.servers = append(t.servers, b)
 	l := &level{translator: t, names: map[string]bool{}, site: b, listener: b.listeners[0]}
+	own := s.clone()
 	b.steps, b.locations = l.body(d, set, &s, nil)
+	l.errorPages(&b.pages, set.pages, own)
+	b.recursive = set.recursive
+	l.settle()
 }
 
 // named are the directives of a name.
@@ -625,8 +645,6 @@
 		return "code is not run: move it to a server of a pool"
 	case name == "root", name == "alias", name == "index", name == "try_files", name == "autoindex", name == "expires":
 		return "files are not served: put a file server into a pool and send these paths there"
-	case name == "error_page", name == "recursive_error_pages", name == "proxy_intercept_errors":
-		return "answers to errors are not replaced: have the servers word them"
 	case name == "add_header", strings.HasPrefix(name, "proxy_hide_"), strings.HasPrefix(name, "proxy_pass_header"), strings.HasPrefix(name, "proxy_cookie_"), name == "proxy_redirect":
 		return "headers of answers are passed on as servers give them"
 	case name == "if":
--- a/internal/operator/sites.go
+++ b/internal/operator/sites.go
@@ -17,9 +17,20 @@
 	Hosts     []string       `toml:"hosts"`     // NAME, *.NAME, NAME.*, .NAME or ~EXPRESSION
 	Default   bool           `toml:"default"`   // takes what no site's hosts match; else the first site does
 	Steps     []SiteStep     `toml:"step"`
+	Errors    []SiteError    `toml:"error"`
 	Locations []SiteLocation `toml:"location"`
 }
 
+// SiteError says what stands in for an error, by one of page, named and redirect. Those of a location stand for those around it.
+type SiteError struct {
+	Codes     []int  `toml:"codes"`
+	Page      string `toml:"page"`       // a template for path and query
+	Named     string `toml:"named"`      // the named of a location
+	Redirect  string `toml:"redirect"`   // a template for a URL
+	Status    int    `toml:"status"`     // of the final answer; 0 for that of the error
+	OwnStatus bool   `toml:"own_status"` // it has that of what stands in
+}
+
 // SiteStep rewrites (match, to, then), stops the steps (stop) or answers (status, body, redirect).
 type SiteStep struct {
 	Match    string `toml:"match"`
@@ -31,7 +42,7 @@
 	Redirect string `toml:"redirect"`
 }
 
-// SiteLocation is chosen by one of exact, begins, only, regex and regex_any, and sends to a pool; with none it answers 404,
+// SiteLocation is chosen by one of exact, begins, only, regex, regex_any and named, and sends to a pool; with none it answers 404,
 // unless a step answers.
 type SiteLocation struct {
 	Name     string `toml:"name"`
@@ -40,16 +51,22 @@
 	Only     string `toml:"only"`      // a prefix of bytes before which no expression goes
 	Regex    string `toml:"regex"`     // RE2, not anchored; the first that matches
 	RegexAny string `toml:"regex_any"` // likewise, whatever the case of letters
+	Named    string `toml:"named"`     // reached by errors only
+
+	Pool    string       `toml:"pool"`
+	Class   string       `toml:"class"`
+	Other   string       `toml:"other"`   // class of methods that are not safe; class if absent
+	Replace string       `toml:"replace"` // stands for the prefix on the way to the server
+	Target  string       `toml:"target"`  // a template for path and query, instead
+	Headers []SiteHeader `toml:"headers"`
+	MaxBody Size         `toml:"max_body"` // of a request; 0 for the listener's
+	Steps   []SiteStep   `toml:"step"`
 
-	Pool    string         `toml:"pool"`
-	Class   string         `toml:"class"`
-	Other   string         `toml:"other"`   // class of methods that are not safe; class if absent
-	Replace string         `toml:"replace"` // stands for the prefix on the way to the server
-	Target  string         `toml:"target"`  // a template for path and query, instead
-	Headers []SiteHeader   `toml:"headers"`
-	MaxBody Size           `toml:"max_body"` // of a request; 0 for the listener's
-	Steps   []SiteStep     `toml:"step"`
-	Within  []SiteLocation `toml:"location"`
+	Internal  bool        `toml:"internal"`  // reached by rewrites and errors only
+	Intercept bool        `toml:"intercept"` // errors that servers answer are replaced too
+	Errors    []SiteError `toml:"error"`
+
+	Within []SiteLocation `toml:"location"`
 }
 
 // SiteHeader is a header that is set on the way to the server; an empty value takes it away.
@@ -88,7 +105,7 @@
 		path := fmt.Sprintf("site[%d]", i)
 		servers[i] = vhost.Server{
 			Name: list[i].Name, Hosts: list[i].Hosts, Default: list[i].Default, Steps: s.steps(path, list[i].Steps),
-			Locations: s.locations(path, list[i].Locations),
+			Errors: s.errors(path, list[i].Errors), Locations: s.locations(path, list[i].Locations),
 		}
 		for j, name := range list[i].Listeners {
 			if l := listeners[name]; l == nil {
@@ -152,7 +169,7 @@
 		kind        vhost.Kind
 	}{
 		{"exact", l.Exact, vhost.Equals}, {"begins", l.Begins, vhost.Begins}, {"only", l.Only, vhost.BeginsOnly},
-		{"regex", l.Regex, vhost.Matches}, {"regex_any", l.RegexAny, vhost.MatchesAny},
+		{"regex", l.Regex, vhost.Matches}, {"regex_any", l.RegexAny, vhost.MatchesAny}, {"named", l.Named, vhost.Named},
 	} {
 		if k.path == "" {
 			continue
@@ -192,11 +209,26 @@
 		l, here := &list[i], fmt.Sprintf("%s.location[%d]", path, i)
 		field, kind, text := l.chosen()
 		if field == "" {
-			s.complain(here, errors.New("needs one of exact, begins, only, regex and regex_any"))
+			s.complain(here, errors.New("needs one of exact, begins, only, regex, regex_any and named"))
 			text = fmt.Sprintf("/%d", i) // so that nothing else is told of it
 		}
 		out[i] = vhost.Location{
 			Name: l.Name, Kind: kind, Path: text, Steps: s.steps(here, l.Steps), Do: s.action(here, l), Within: s.locations(here, l.Within),
+			Internal: l.Internal, Intercept: l.Intercept, Errors: s.errors(here, l.Errors),
+		}
+	}
+	return out
+}
+
+func (s *siteChecker) errors(path string, list []SiteError) []vhost.ErrorPage {
+	out := make([]vhost.ErrorPage, len(list))
+	for i, e := range list {
+		out[i] = vhost.ErrorPage{Codes: e.Codes, Page: e.Page, Named: e.Named, Redirect: e.Redirect, Status: e.Status}
+		if e.OwnStatus {
+			out[i].Status = vhost.Own
+		}
+		if e.OwnStatus && e.Status != 0 || e.Status < 0 {
+			s.complain(fmt.Sprintf("%s.error[%d].status", path, i), errors.New("it has a status, or the own of what stands in"))
 		}
 	}
 	return out
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -52,9 +52,11 @@
 	loop      *loop
 	status    int // with no call: the head cannot be taken, and its connection ends
 	complaint string
-	fixed     *answer // or this is the answer, and the connection goes on
-	streams   *bodies // bodies over maxBody may stream, within these bounds; nil where they may not
-	done      func()  // to be called once the request is over; may be nil
+	fixed     *answer                // or this is the answer, and the connection goes on
+	streams   *bodies                // bodies over maxBody may stream, within these bounds; nil where they may not
+	done      func()                 // to be called once the request is over; may be nil
+	empty     bool                   // the body is read and goes nowhere
+	instead   func(*answer) *standIn // what stands in for an answer, nil for nothing; itself nil where nothing can
 }
 
 // newFront makes the platform's front for at most so many callers' connections.
@@ -135,7 +137,13 @@
 		f.complain(c, err)
 		return false
 	}
+	if t.empty {
+		k.out.body = nil
+	}
 	a, ok := f.have(c, &t)
+	if ok && t.instead != nil {
+		a, ok = f.replace(c, &t, a)
+	}
 	if !ok {
 		return false
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -219,7 +219,7 @@
 			l.send(c, a.Server, a.Until)
 		}
 	case whinknot.ActRefuse:
-		l.finish(c, answer{status: statusRefused, retryAfter: millis(a.After)})
+		l.finish(c, answer{status: statusRefused, retryAfter: millis(a.After), made: true})
 	case whinknot.ActFail:
 		l.finish(c, c.failed())
 	case whinknot.ActCancel:
@@ -377,7 +377,7 @@
 	if c != nil && c.failure != nil {
 		return *c.failure
 	}
-	return answer{status: statusFailed, late: c != nil && c.late}
+	return answer{status: statusFailed, late: c != nil && c.late, made: true}
 }
 
 // finish gives the one final answer.
@@ -407,6 +407,7 @@
 			l.note(float32(l.now() - (c.event.Due - c.wait)))
 		}
 	}
+	a.ran, a.attempts = c.mayRun || c.open > 0, len(c.attempts)
 	c.reply(a)
 	l.release(c)
 }
@@ -463,7 +464,7 @@
 	}
 	a := c.failed()
 	if !c.mayRun && c.open == 0 {
-		a = answer{status: statusRefused, retryAfter: retryAfter}
+		a = answer{status: statusRefused, retryAfter: retryAfter, made: true}
 	}
 	l.callOff(c)
 	l.finish(c, a)
--- a/internal/sidecar/replay_test.go
+++ b/internal/sidecar/replay_test.go
@@ -321,3 +321,64 @@
 		t.Errorf("%d requests, %d of them reached a server", requests, reached)
 	}
 }
+
+// Errors of an imported configuration lead where the documentation of error_page says, over sockets.
+func TestReplayOfErrorPages(t *testing.T) {
+	list := servers(t, "up", "spare", "down")
+	up, spare, down := list[0], list[1], list[2]
+	down.Close()
+	tree, err := nginx.Parse("f", strings.NewReplacer("UP", up.Addr(), "SPARE", spare.Addr(), "DOWN", down.Addr()).Replace(`
+proxy_connect_timeout 1s;
+error_page 502 503 /sorry.html;
+server { listen 8080;
+location / { proxy_pass http://UP; }
+location = /sorry.html { internal; proxy_pass http://UP/page; }
+location /down/ { proxy_pass http://DOWN; }
+location /kept/ { error_page 502 @spare; proxy_pass http://DOWN; }
+location /own/ { error_page 502 = @spare; proxy_pass http://DOWN; }
+location /ok/ { error_page 502 =200 /sorry.html; proxy_pass http://DOWN; }
+location /away/ { error_page 502 https://other.example$request_uri; proxy_pass http://DOWN; }
+location /said/ { error_page 404 = /sorry.html; proxy_intercept_errors on; proxy_pass http://UP; }
+location /open/ { error_page 404 = /sorry.html; proxy_pass http://UP; }
+location @spare { rewrite ^/own/(.*)$ /made/$1 break; proxy_pass http://SPARE; } }`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, report := nginx.Import(&nginx.File{Directives: tree})
+	if report.Totals[nginx.Dropped] > 0 {
+		t.Fatalf("%v dropped", report.Totals)
+	}
+	cfg, err := operator.Parse("out.toml", []byte("[limits]\ndrain = \"100ms\"\n"+strings.Replace(out, `address = ":8080"`, `address = "127.0.0.1:0"`, 1)))
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	i, _ := launch(t, cfg)
+	c := connect(t, i.Addresses()["listen-8080"])
+	for _, k := range []struct {
+		method, path string
+		status       int
+		body         string // begins with
+	}{
+		{"GET", "/x", 200, "server=up method=GET uri=/x "},
+		{"GET", "/sorry.html", 404, ""},
+		{"GET", "/down/x", 503, "server=up method=GET uri=/page "},
+		{"POST", "/down/x", 503, "server=up method=GET uri=/page "},
+		{"GET", "/kept/x?q", 503, "server=spare method=GET uri=/kept/x?q "},
+		{"POST", "/own/x?q", 200, "server=spare method=POST uri=/made/x?q "},
+		{"GET", "/ok/x", 200, "server=up method=GET uri=/page "},
+		{"GET", "/away/x?q", 302, ""},
+		{"GET", "/said/x?status=404", 200, "server=up method=GET uri=/page "},
+		{"GET", "/open/x?status=404", 404, "server=up method=GET uri=/open/x?status=404 "},
+	} {
+		res, body, err := c.ask(k.method, k.method+" "+k.path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		if err != nil || res.StatusCode != k.status || !strings.HasPrefix(body, k.body) {
+			t.Fatalf("%s %s: %v, %v, %q", k.method, k.path, err, res.Status, body)
+		}
+		if to := res.Header.Get("Location"); k.status == 302 && to != "https://other.example"+k.path {
+			t.Errorf("%s: redirected to %q", k.path, to)
+		}
+		if res.StatusCode == 404 { // some answers end the connection
+			c = connect(t, i.Addresses()["listen-8080"])
+		}
+	}
+}
--- a/internal/sidecar/sited.go
+++ b/internal/sidecar/sited.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"whinknot/internal/route"
 	"whinknot/internal/vhost"
@@ -45,7 +46,6 @@
 		}
 		return taken{fixed: fixed.bareFor(req.Method)}
 	}
-	host := t.host
 	for _, h := range out.Headers {
 		if strings.ContainsFunc(h.Value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
 			return taken{status: http.StatusBadRequest, complaint: "a header made of this request would hold a control character"}
@@ -55,8 +55,23 @@
 	if out.Do.MaxBody > 0 {
 		most = min(most, out.Do.MaxBody)
 	}
+	if !out.Replaces() && out.Status == 0 {
+		return d.toSite(m, &out, t.host, most)
+	}
+	r := &replacing{door: d, came: time.Now(), head: *m, host: t.host, most: most, out: out}
+	r.head.header = m.header.Clone() // the call makes its own of it
+	first := d.toSite(m, &out, t.host, most)
+	if first.call != nil {
+		r.class, r.body = d.effect(&out), first.call
+		first.instead = r.instead
+	}
+	return first
+}
+
+// toSite makes the call of a pool that a site has decided on.
+func (d *door) toSite(m *message, out *vhost.Outcome, host string, most int64) taken {
 	rule := &route.Rule{Name: out.Location, Pool: out.Do.Pool, Class: out.Class}
-	return d.dispatch(m, rule, most, req.Method, func(k *call) string {
+	t := d.dispatch(m, rule, most, out.Method, func(k *call) string {
 		for _, h := range out.Headers {
 			switch {
 			case h.Name == "Host" && h.Value != "":
@@ -67,8 +82,15 @@
 				k.out.header[h.Name] = []string{h.Value}
 			}
 		}
-		return req.Method + " " + out.Target + " HTTP/1.1\r\nHost: " + host + "\r\n"
+		if out.Page {
+			asPage(k.out.header)
+		}
+		return out.Method + " " + out.Target + " HTTP/1.1\r\nHost: " + host + "\r\n"
 	})
+	if out.Page && t.call != nil {
+		t.empty, t.streams = true, nil
+	}
+	return t
 }
 
 // explainSite is explain for what sites decide.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -59,6 +59,9 @@
 	tier       string           // see outcomeHeader
 	notRun     bool             // the tier before is told that nothing ran
 	late       bool             // it failed because its time is over
+	made       bool             // by this program: a refusal or failure in its own words
+	ran        bool             // when it was given, an attempt may have run or was still out
+	attempts   int              // that had been made then
 	rpc        *grpcfront.Reply // of a gRPC call: a server's answer
 }
 
--- a/internal/vhost/compile.go
+++ b/internal/vhost/compile.go
@@ -47,6 +47,8 @@
 
 type compiler struct {
 	server int
+	site   *site
+	refs   []reference // to named locations of the site
 	errs   []*Error
 }
 
@@ -62,8 +64,10 @@
 			c.complain(nil, "name", fmt.Errorf("%q is missing or comes twice", s.Name))
 		}
 		names[s.Name] = true
-		own := &site{Server: s, steps: c.steps(nil, s.Steps)}
-		own.places = c.level(nil, s.Locations, map[string]bool{})
+		own := &site{Server: s, steps: c.steps(nil, s.Steps), named: map[string]*place{}}
+		c.site, own.pages = own, c.pages(nil, s.Errors)
+		own.places = c.level(nil, s.Locations, map[string]bool{}, own.pages)
+		c.reachable()
 		c.hosts(t, own)
 		if s.Default && t.standard != nil && t.standard.Default {
 			c.complain(nil, "default", fmt.Errorf("%q is the default already", t.standard.Name))
@@ -172,7 +176,7 @@
 }
 
 // level compiles the locations of a server, or those within one.
-func (c *compiler) level(at []int, list []Location, names map[string]bool) *level {
+func (c *compiler) level(at []int, list []Location, names map[string]bool, around []page) *level {
 	if len(list) == 0 {
 		return nil
 	}
@@ -189,7 +193,11 @@
 			c.complain(here, "name", fmt.Errorf("%q is missing or comes twice", spec.Name))
 		}
 		names[spec.Name] = true
-		p := &place{Location: spec, steps: c.steps(here, spec.Steps), within: c.level(here, spec.Within, names), action: c.action(here, spec)}
+		p := &place{Location: spec, steps: c.steps(here, spec.Steps), action: c.action(here, spec), pages: around}
+		if len(spec.Errors) > 0 {
+			p.pages = c.pages(here, spec.Errors)
+		}
+		p.within = c.level(here, spec.Within, names, p.pages)
 		switch {
 		case spec.Kind.expression():
 			if p.pattern = c.pattern(here, "path", spec.Path, spec.Kind == MatchesAny); p.pattern != nil {
@@ -197,6 +205,8 @@
 			}
 		case spec.Path == "":
 			c.complain(here, "path", errors.New("is missing"))
+		case spec.Kind == Named:
+			c.named(here, p)
 		case spec.Kind == Equals && l.equal[spec.Path] != nil, spec.Kind != Equals && prefixes[spec.Path]:
 			c.complain(here, "path", fmt.Errorf("%q has a location already", spec.Path))
 		case spec.Kind == Equals:
--- a/internal/vhost/decide.go
+++ b/internal/vhost/decide.go
@@ -14,47 +14,65 @@
 	path    string // as rewritten
 	query   string
 	changed bool // the path or query is not as it came
+	inside  bool // it was rewritten, or stands in for another
+	site    *site
 	caps    *captures
 }
 
 // Decide tells what becomes of a request.
 func (t *Table) Decide(r *Request) Outcome {
 	w := &work{Request: r, path: r.Path, query: r.Query}
-	var s *site
-	s, w.caps = t.find(r.Host)
-	if s == nil {
+	w.site, w.caps = t.find(r.Host)
+	if w.site == nil {
 		return Outcome{Answer: &Answer{Status: http.StatusNotFound}}
 	}
-	out := Outcome{Server: s.Name}
-	if out.Answer, _ = w.take(s.steps); out.Answer != nil {
+	return w.visit().replaced()
+}
+
+// visit takes a request through its server from the first step on.
+func (w *work) visit() Outcome {
+	out := Outcome{Server: w.site.Name, Method: w.Method, at: w, pages: w.site.pages}
+	if out.Answer, _ = w.take(w.site.steps); out.Answer != nil {
 		return out
 	}
+	return w.locate(out)
+}
+
+// locate chooses the location of a request, anew each time that rewrites lead elsewhere.
+func (w *work) locate(out Outcome) Outcome {
 	for range maxCycles + 1 {
-		p, _ := s.places.choose(w.path, &w.caps)
-		if p == nil {
+		p, _ := w.site.places.choose(w.path, &w.caps)
+		if p == nil || p.Internal && !w.inside {
 			out.Answer = &Answer{Status: http.StatusNotFound}
 			return out
 		}
-		out.Location = p.Name
-		before := w.path
-		answer, again := w.take(p.steps)
-		switch {
-		case answer != nil:
-			out.Answer = answer
-			return out
-		case again:
-			continue
-		case p.action == nil:
-			out.Answer = &Answer{Status: http.StatusNotFound}
+		if w.enter(&out, p) {
 			return out
 		}
-		w.send(&out, p, before != w.path)
-		return out
+		w.inside = true
 	}
 	out.Answer = &Answer{Status: http.StatusInternalServerError}
 	return out
 }
 
+// enter takes a request into a location; false means that the location is to be chosen anew.
+func (w *work) enter(out *Outcome, p *place) bool {
+	out.Location, out.pages, out.intercepts = p.Name, p.pages, p.Intercept
+	before := w.path
+	answer, again := w.take(p.steps)
+	switch {
+	case answer != nil:
+		out.Answer = answer
+	case again:
+		return false
+	case p.action == nil:
+		out.Answer = &Answer{Status: http.StatusNotFound}
+	default:
+		w.send(out, p, before != w.path)
+	}
+	return true
+}
+
 // take takes steps in order; again means that the location is to be chosen anew.
 func (w *work) take(steps []step) (answer *Answer, again bool) {
 	for i := range steps {
--- a/internal/vhost/vhost.go
+++ b/internal/vhost/vhost.go
@@ -24,6 +24,7 @@
 	Equals                 // ends the search (=)
 	Matches                // an expression (~), not anchored
 	MatchesAny             // likewise, whatever the case of letters (~*)
+	Named                  // reached by error pages only; its path is its name (@)
 )
 
 func (k Kind) expression() bool { return k == Matches || k == MatchesAny }
@@ -80,6 +81,10 @@
 	Steps  []Step
 	Do     *Action // nil where there is nothing to send to: 404
 	Within []Location
+
+	Internal  bool        // requests of the outside are answered 404 there
+	Errors    []ErrorPage // instead of those around it, if there are any
+	Intercept bool        // errors that servers answer are replaced too
 }
 
 // Server is a virtual server.
@@ -89,6 +94,7 @@
 	Default   bool
 	Steps     []Step
 	Locations []Location
+	Errors    []ErrorPage
 }
 
 // Request is what a decision sees of a request.
@@ -111,6 +117,14 @@
 	Target           string // path and query as they go on
 	Headers          []Header
 	Answer           *Answer // instead
+	Method           string  // as it goes on
+	Status           int     // of the final answer, whatever the server's is: 0 for that of the error, Own, or this one
+	Page             bool    // a request of its own, without a body, stands in for the one that came
+
+	at    *work // where an error page goes on; nil where there is none
+	pages []page
+
+	intercepts bool
 }
 
 // level is the locations of a server, or within a location.
@@ -128,6 +142,7 @@
 	within  *level
 	steps   []step
 	action  *action
+	pages   []page // those in force here
 }
 
 // site is a compiled server.
@@ -135,6 +150,8 @@
 	*Server
 	steps  []step
 	places *level
+	named  map[string]*place
+	pages  []page
 }
 
 // Table is a compiled set of servers.
