Give a server that is cut before any is measured trial calls by the demand there is

The counts by server showed two or three sound servers cut within the first second, by a run of slow answers in the first burst, and not one call sent there for 13 s and more.

The floor of a cut server is 0.05 of the mean load of the measured ones, taken when it is cut. While none is measured that mean is 0, and the floor one call in ten seconds, of which it needs three. It now follows what demand asks of each server, as the load of servers that are not measured does, and is looked up anew as that changes. Ruled out: the room (nothing was refused before the cut) and the connections (all open).

--- a/balancer.go
+++ b/balancer.go
@@ -871,11 +871,11 @@
 // loadOf is the load a server is given now, in calls a second of this copy.
 func (b *Balancer) loadOf(s *server) float64 {
 	load := s.load
+	if s.cut {
+		load = max(load, b.floor()) // it was cut when little was known of the others, perhaps
+	}
 	if !s.measured {
-		load = b.meanLoad
-		if b.measured == 0 {
-			load = headroom * b.sends.rate / float64(max(len(b.live), 1))
-		}
+		load = b.usualLoad()
 		if s.Weight > 0 && b.meanWeight > 0 {
 			load *= s.Weight / b.meanWeight // a hint, until there is a measurement
 		}
@@ -891,8 +891,16 @@
 	return load
 }
 
+// usualLoad is the mean of those measured; before any is, what demand asks of each.
+func (b *Balancer) usualLoad() float64 {
+	if b.measured == 0 {
+		return headroom * b.sends.rate / float64(max(len(b.live), 1))
+	}
+	return b.meanLoad
+}
+
 // floor is the least load of a server, so that trial calls still reach it.
-func (b *Balancer) floor() float64 { return max(floorPart*b.meanLoad, 1000/revisePeriod) }
+func (b *Balancer) floor() float64 { return max(floorPart*b.usualLoad(), 1000/revisePeriod) }
 
 // reviseRoom applies the paper's rule to the calls that may be out at once, each second: ten are too long
 // for an overload. Only the front sheds: an inner error would waste upstream work. Two signs tell of waiting:
--- a/host_test.go
+++ b/host_test.go
@@ -165,3 +165,41 @@
 		}
 	}
 }
+
+// A server that is cut before any is measured gets trial calls by the demand that there is, and is back within seconds: none of
+// the others has a load yet from which a share could be taken.
+func TestCutBeforeAnyIsMeasured(t *testing.T) {
+	h := start(t, plain(), ids(4)...)
+	id, burst := uint32(0), []Action(nil)
+	for range 40 { // what comes first is out at once, and all that one server has fails
+		id++
+		burst = append(burst, h.request(id, 0)...)
+	}
+	h.now += 600
+	for _, a := range burst {
+		out := OK
+		if a.Server == 100 {
+			out = Error
+		}
+		h.do(Event{Kind: EvOutcome, Request: a.Request, Server: a.Server, Outcome: out, Took: 20, Done: true})
+	}
+	s := h.b.byID[100]
+	if !s.cut || h.b.measured > 1 {
+		t.Fatalf("%d calls out: cut %v, %d servers measured", len(burst), s.cut, h.b.measured)
+	}
+	for tried := 0; s.cut; {
+		h.now += 10 // 100 calls a second
+		id++
+		for _, a := range h.request(id, 0) {
+			if a.Kind == ActSend {
+				h.do(Event{Kind: EvOutcome, Request: id, Server: a.Server, Outcome: OK, Took: 20})
+			}
+			if a.Server == 100 {
+				tried++
+			}
+		}
+		if h.now > 6000 {
+			t.Fatalf("cut for 4.4 s, with %d trial calls", tried)
+		}
+	}
+}
