--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -8,6 +8,7 @@
 //	go run ./internal/measure grpc -program NEW
 //	go run ./internal/measure import -program NEW
 //	go run ./internal/measure tiers
+//	go run ./internal/measure levels -for 10m -seeds 10 -svg FILE
 package main
 
 import (
@@ -46,7 +47,10 @@
 
 func run(args []string) error {
 	if len(args) == 0 {
-		return errors.New("needs a subcommand: platform, operator, grpc, import or tiers")
+		return errors.New("needs a subcommand: platform, operator, grpc, import, tiers or levels")
+	}
+	if args[0] == "levels" {
+		return levels(args[1:], os.Stdout)
 	}
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	requests := flags.Int("requests", 40_000, "of each program in a round")
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -91,7 +91,8 @@
 	return float64(o.InTime) / float64(max(o.Asked, 1))
 }
 
-func (s *Spec) file(servers []*standin.Server) string {
+// File is the operator file of a trial over such servers.
+func (s Spec) File(servers []*standin.Server) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[limits]\ndrain = \"200ms\"\nsockets = 4096\ncores = 256\n[[listener]]\nname = \"in\"\naddress = \"127.0.0.1:0\"\n")
 	fmt.Fprintf(&b, "[[pool]]\nname = \"p\"\nconnect_timeout = \"250ms\"\nlevel_caller = \"X-Caller\"\nlevel_window = %q\n", cmp.Or(s.Window, time.Second))
@@ -120,7 +121,7 @@
 		v.Cores(s.Cores)
 		servers = append(servers, v)
 	}
-	cfg, err := operator.Parse("trial.toml", []byte(s.file(servers)))
+	cfg, err := operator.Parse("trial.toml", []byte(s.File(servers)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -141,7 +141,7 @@
 func ladder(t *testing.T) level.Ladder {
 	t.Helper()
 	s := small(0, time.Second, 1)
-	cfg, err := operator.Parse("f", []byte(s.file(nil)))
+	cfg, err := operator.Parse("f", []byte(s.File(nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
