--- a/internal/sidecar/levels.go
+++ b/internal/sidecar/levels.go
@@ -24,7 +24,6 @@
 	meter   *level.Meter
 	waiting *list.List // calls that have had no server yet, the oldest first
 	young   []float64  // when those of the ready servers started that may be cold
-	ticking bool
 }
 
 // setLevels puts a pool's ladder in force, in the loop. Where there was none, before is the machine of the pool in whose place
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -57,7 +57,8 @@
 		p.loop.run()
 		close(p.running)
 	}()
-	p.loop.post(func() { p.loop.setLevels(&p.spec, before) })
+	spec := p.spec // a reload may change the pool's
+	p.loop.post(func() { p.loop.setLevels(&spec, before) })
 	p.tell(known)
 	p.source = newSource(p, &p.spec)
 }
