Have each copy send to a part of a large fleet that all copies choose alike

Where thousands of servers are listed a copy held a connection to each and walked all of them for each call. Package subset chooses arcs of a ring by rank: full coverage and even shares by construction, one server in and out at each end when the list changes, with zones, with copies that are gone unknown, and with growth where too much of a part is dead. Off unless the file asks for it.

Weighed and not taken: random subsets and rendezvous hashing (uneven), shuffled rounds (every change moves all subsets).

--- a/balancer.go
+++ b/balancer.go
@@ -1047,6 +1047,7 @@
 		return
 	}
 	b.backoff = askBackoff
+	b.set.Copies = cmp.Or(max(ev.Copies, 0), b.set.Copies)
 	if ev.List != ListDelta {
 		for _, s := range b.byID {
 			s.listed = false
--- a/host_test.go
+++ b/host_test.go
@@ -203,3 +203,21 @@
 		}
 	}
 }
+
+// A host that tells the module of a part of the servers only says how many copies share these: each may have that much more out.
+func TestCopiesOfAPart(t *testing.T) {
+	set := plain()
+	set.Copies, set.Tenants = 50, []Tenant{{Name: "t", Quota: 100}}
+	h := start(t, set, ids(10)...)
+	if h.b.firstRoom != heldLeast {
+		t.Errorf("room %v with 50 copies at 10 servers", h.b.firstRoom)
+	}
+	h.do(Event{Kind: EvList, List: ListDelta, Copies: 2})
+	if h.b.firstRoom != heldFirst*10/2 || h.b.tenants[0].rate != 2 {
+		t.Errorf("room %v with 2 copies, quota %v of one of 50", h.b.firstRoom, h.b.tenants[0].rate)
+	}
+	h.do(Event{Kind: EvList, List: ListDelta, Copies: -1})
+	if h.b.set.Copies != 2 {
+		t.Errorf("%d copies when nothing is told", h.b.set.Copies)
+	}
+}
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -269,6 +269,15 @@
 	} else if p.Rank < 0 || p.Rank >= p.Copies {
 		c.complainf(path+".rank", "%d is not the number of one of %d copies, which count from 0", p.Rank, p.Copies)
 	}
+	if p.Subset < 0 || p.Subset > maxServers {
+		c.complainf(path+".subset", "%d is not within 0 and %d", p.Subset, maxServers)
+	}
+	if p.SubsetSpare < 0 || p.SubsetSpare > 100 {
+		c.complainf(path+".subset_spare", "%d is not within 0 and 100", p.SubsetSpare)
+	}
+	if zone := slices.Index(p.Zones, p.Zone); p.Subset > 0 && zone >= 0 && p.Rank%len(p.Zones) != zone {
+		c.complainf(path+".rank", "%d is of zone %q, not %q: with a subset ranks are dealt out to zones in turn", p.Rank, p.Zones[p.Rank%len(p.Zones)], p.Zone)
+	}
 	if len(p.Zones) > 250 {
 		c.complainf(path+".zones", "%d of them, over the 250 allowed", len(p.Zones))
 	}
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -148,6 +148,8 @@
 	Servers        []Server `toml:"server"`
 	Levels         []Level  `toml:"level"`        // of reduced service, the mildest first
 	LevelWindow    Duration `toml:"level_window"` // over which their signals are taken
+	Subset         int      `toml:"subset"`       // servers that this copy sends to, at least; 0 for all
+	SubsetSpare    int      `toml:"subset_spare"` // neighbours by rank that may be gone without leaving a server to no copy
 	LevelCaller    string   `toml:"level_caller"` // the header that names a caller to them; its address where that is absent
 }
 
@@ -250,7 +252,7 @@
 		Protocol: HTTP, Streams: 100, PingAfter: Duration(6 * time.Minute), // servers of grpc-go cut those that ask more often
 		Attempts: 3, ConnectTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second),
 		StreamTime: Duration(time.Minute), StreamIdle: Duration(10 * time.Second), DrainGrace: Duration(500 * time.Millisecond),
-		ColdFrom: 0.3, Ramp: Duration(8 * time.Second), Copies: 1, LevelWindow: Duration(time.Second),
+		ColdFrom: 0.3, Ramp: Duration(8 * time.Second), Copies: 1, LevelWindow: Duration(time.Second), SubsetSpare: 1,
 	}
 	p.Connections.setDefaults()
 	p.Source.setDefaults()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -78,7 +78,7 @@
 	token uint64
 	call  *call   // nil for a timer
 	then  func()  // instead
-	of    *levels // then counts while these are in force
+	of    *levels // then counts while these are in force; nil for always
 	place int     // in the agenda; -1 once it is out
 }
 
@@ -131,6 +131,7 @@
 	counts    *counts
 	settings  *whinknot.Settings
 	levels    *levels                // nil for none
+	portion   *portion               // nil where all servers are sent to
 	callerBy  atomic.Pointer[string] // the header that names a caller to them; nil without levels
 
 	served, refused, failures uint64    // calls by their final answer
@@ -210,7 +211,7 @@
 		d := heap.Pop(&l.agenda).(*due)
 		switch {
 		case d.then != nil:
-			if d.of == l.levels {
+			if d.of == nil || d.of == l.levels {
 				d.then()
 			}
 		case d.call == nil:
@@ -510,6 +511,10 @@
 func (l *loop) list(list List, kind whinknot.ListKind) {
 	ev := whinknot.Event{Kind: whinknot.EvList, List: kind}
 	whole := kind != whinknot.ListDelta
+	if l.portion != nil {
+		list = l.portion.narrow(list, whole)
+		ev.Copies = l.portion.copies()
+	}
 	before := l.listed
 	if whole {
 		l.listed = make(map[uint32]bool, len(list.Targets))
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("pool %s: %w", spec.Name, err)
 	}
+	p.loop.portion = newPortion(spec)
 	p.classes, p.tenants = indexes(&p.set)
 	return p, nil
 }
@@ -58,7 +59,12 @@
 		close(p.running)
 	}()
 	spec := p.spec // a reload may change the pool's
-	p.loop.post(func() { p.loop.setLevels(&spec, before) })
+	p.loop.post(func() {
+		p.loop.setLevels(&spec, before)
+		if p.loop.portion != nil {
+			p.loop.lookAtPortion()
+		}
+	})
 	p.tell(known)
 	p.source = newSource(p, &p.spec)
 }
