Tell a long error by its status alone when its page is not to be had

Read once more: an intercepted error with a body over 64 KiB was called off for its page, and if the page then failed too, what had been called off was passed on as a body that breaks off. It is the status alone now. The plot of levels names its curves in the title.

--- a/internal/measure/levels.go
+++ b/internal/measure/levels.go
@@ -113,7 +113,6 @@
 		return out
 	}
 	type curve struct {
-		name   string
 		colour color.Color
 		points plotter.XYs
 		steps  bool
@@ -122,12 +121,12 @@
 		title  string
 		curves []curve
 	}{
-		{"speed of the servers", []curve{{"", grey, course(p.with, func(x trial.Point) float64 { return x.Speed }), true}}},
-		{"level (0 normal, 1 lean, 2 essential)", []curve{{"", blue, course(p.with, func(x trial.Point) float64 { return heights[x.Level] }), true}}},
-		{"worth a second", []curve{
-			{"asked", grey, course(p.with, func(x trial.Point) float64 { return x.Asked }), false},
-			{"served in time, without levels", red, course(p.without, func(x trial.Point) float64 { return x.Earned }), false},
-			{"served in time, with levels", blue, course(p.with, func(x trial.Point) float64 { return x.Earned }), false},
+		{"speed of the servers", []curve{{grey, course(p.with, func(x trial.Point) float64 { return x.Speed }), true}}},
+		{"level (0 normal, 1 lean, 2 essential)", []curve{{blue, course(p.with, func(x trial.Point) float64 { return heights[x.Level] }), true}}},
+		{"worth a second: asked for (grey), served in time without levels (red) and with them (blue)", []curve{
+			{grey, course(p.with, func(x trial.Point) float64 { return x.Asked }), false},
+			{red, course(p.without, func(x trial.Point) float64 { return x.Earned }), false},
+			{blue, course(p.with, func(x trial.Point) float64 { return x.Earned }), false},
 		}},
 	}
 	var plots [][]*plot.Plot
@@ -135,7 +134,6 @@
 		pl := plot.New()
 		pl.Title.Text = panel.title
 		pl.Y.Min = 0
-		pl.Legend.Top = true
 		for _, c := range panel.curves {
 			line, err := plotter.NewLine(c.points)
 			if err != nil {
@@ -146,9 +144,6 @@
 				line.StepStyle = plotter.PostStep
 			}
 			pl.Add(line)
-			if c.name != "" {
-				pl.Legend.Add(c.name, line)
-			}
 		}
 		plots = append(plots, []*plot.Plot{pl})
 	}
--- a/internal/sidecar/errorpage.go
+++ b/internal/sidecar/errorpage.go
@@ -135,6 +135,7 @@
 	}
 	if a.rest != nil { // its body is not wanted
 		t.loop.post(func() { t.loop.callOff(t.call) })
+		a.rest, a.body = nil, nil // and cannot be had any more if what stands in fails
 	}
 	if s.fixed != nil {
 		return a.as(*s.fixed, s.status), true
--- a/internal/sidecar/errorpage_test.go
+++ b/internal/sidecar/errorpage_test.go
@@ -204,3 +204,13 @@
 		}
 	}
 }
+
+// A long error of a server is not read to its end for a page. With no page to be had it is told by its status alone.
+func TestLongErrorWithoutItsPage(t *testing.T) {
+	_, _, pages, ask := errorSite(t, "")
+	pages.Fault(standin.ResetAfter)
+	res, body := ask("GET", "GET /paged/a?status=404&bytes=400000 HTTP/1.1\r\nHost: h\r\n\r\n")
+	if res.StatusCode != 404 || body != "" || len(pages.Records()) == 0 {
+		t.Errorf("status %d, %d bytes, pages asked for %d times", res.StatusCode, len(body), len(pages.Records()))
+	}
+}
