Have one piece of code hash names, word conditions, record changes and give fixed answers

Read once more: the finish of splitmix64 stood three times beside the module, so that levels and subsets each had the hash of a name on which all sidecars have to agree; it is package spread now. The figure of a condition was worded in four places, and a text made for each condition at each look though only its being there counted. A reload kept changes without their bound, beside the code that has it. Answers that the file gives were made in three places, the classes shed worded in two, and a call's backstop set twice. Behaviour is the same but for that bound; no test's assertion changed.

--- a/cmd/milletctl/level.go
+++ b/cmd/milletctl/level.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"whinknot/internal/control"
 	"whinknot/internal/control/agentpb"
 	"whinknot/internal/control/controlpb"
 	"whinknot/internal/ctl"
@@ -62,13 +62,10 @@
 // levelRow tells of the level of one pool at one instance.
 func levelRow(m *agentpb.Member, p *controlpb.PoolStatus, now time.Time) []string {
 	s := p.Level
-	pinned, shed := "", []string{}
+	pinned := ""
 	if s.PinnedUntilMs != 0 {
 		pinned = max(time.UnixMilli(s.PinnedUntilMs).Sub(now), 0).Round(time.Second).String() + " more"
 	}
-	for _, k := range s.Shedding {
-		shed = append(shed, fmt.Sprintf("%s %.0f%%", k.Class, 100*k.Share))
-	}
 	since := now.Sub(time.UnixMilli(s.SinceMs)).Round(time.Second).String()
-	return []string{m.Name, p.Name, s.Level, since, pinned, strings.Join(shed, ", "), s.Why, age(m.AgeMs)}
+	return []string{m.Name, p.Name, s.Level, since, pinned, control.Shedding(s), s.Why, age(m.AgeMs)}
 }
--- a/internal/control/level.go
+++ b/internal/control/level.go
@@ -10,6 +10,15 @@
 	"whinknot/internal/control/controlpb"
 )
 
+// Shedding names the classes that a level sheds, each with the share of its callers.
+func Shedding(s *controlpb.LevelStatus) string {
+	list := make([]string, len(s.Shedding))
+	for i, k := range s.Shedding {
+		list[i] = fmt.Sprintf("%s %.0f%%", k.Class, 100*k.Share)
+	}
+	return strings.Join(list, ", ")
+}
+
 // DescribeLevel tells of the level of a pool in rows of a name and a value, with times as seen from now.
 func DescribeLevel(s *controlpb.LevelStatus, now time.Time) [][]string {
 	ago := func(ms int64) string { return now.Sub(time.UnixMilli(ms)).Round(100 * time.Millisecond).String() }
@@ -22,12 +31,8 @@
 	if s.PinnedUntilMs != 0 {
 		rows = append(rows, []string{"pinned", "for " + in(s.PinnedUntilMs) + " more"})
 	}
-	var list []string
-	for _, k := range s.Shedding {
-		list = append(list, fmt.Sprintf("%s %.0f%%", k.Class, 100*k.Share))
-	}
-	if len(list) > 0 {
-		rows = append(rows, []string{"shed", strings.Join(list, ", ") + " of the callers"})
+	if len(s.Shedding) > 0 {
+		rows = append(rows, []string{"shed", Shedding(s) + " of the callers"})
 	}
 	if s.Back < 1 {
 		rows = append(rows, []string{"back", fmt.Sprintf("%.0f%% of what was shed", 100*s.Back)})
@@ -39,7 +44,7 @@
 	default:
 		rows = append(rows, []string{"leaves", "in " + in(s.EarliestMs) + " if it stays like this"})
 	}
-	list = nil
+	var list []string
 	for _, name := range slices.Sorted(maps.Keys(s.Signals)) {
 		list = append(list, fmt.Sprintf("%s %.3g", name, s.Signals[name]))
 	}
--- a/internal/level/admit.go
+++ b/internal/level/admit.go
@@ -1,6 +1,6 @@
 package level
 
-import "hash/fnv"
+import "whinknot/internal/spread"
 
 // Verdict is what the level in force says of a request.
 type Verdict struct {
@@ -11,14 +11,7 @@
 
 // Caller turns what names a caller into a number that is spread evenly over all numbers. Sidecars that know a caller by the
 // same name agree on it.
-func Caller(name string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(name))
-	z := h.Sum64() // FNV spreads the last bytes badly over the high bits: finish as splitmix64 does
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
+func Caller(name string) uint64 { return spread.Name(name) }
 
 // Admit decides on a request of a class. The same callers are turned away for as long as the share stays, those of a smaller
 // share are among those of a larger one, and while a share shrinks callers come back for good one after the other.
--- a/internal/level/machine.go
+++ b/internal/level/machine.go
@@ -96,7 +96,7 @@
 	wanted := 0
 	for i := range m.ladder {
 		s := &m.steps[i]
-		if m.entering(i) == "" {
+		if m.entering(i) == nil {
 			s.since = -1
 			continue
 		}
@@ -109,7 +109,7 @@
 			wanted = i + 1
 		}
 	}
-	if m.at == 0 || !m.clear() {
+	if m.at == 0 || len(m.holding()) > 0 {
 		m.calm = -1
 	} else if m.calm < 0 {
 		m.calm = 0
@@ -125,7 +125,7 @@
 	}
 	switch {
 	case wanted > m.at && m.mayClimb():
-		m.climb(m.entering(wanted - 1))
+		m.climb(m.reading(*m.entering(wanted - 1)))
 	case wanted < m.at && m.calm >= m.ladder[m.at-1].Calm && !m.now.Before(m.earliest()):
 		m.descend()
 	default:
@@ -134,25 +134,42 @@
 	return true
 }
 
-// entering is the first condition of a level that holds now, with its figure; "" for none.
-func (m *Machine) entering(i int) string {
-	for _, c := range m.ladder[i].Enter {
-		if v := m.last[c.Signal]; c.holds(v) {
-			return fmt.Sprintf("%v, is %.3g", c, v)
+// entering is the first condition of a level that holds now; nil for none.
+func (m *Machine) entering(i int) *Condition {
+	for k, c := range m.ladder[i].Enter {
+		if c.holds(m.last[c.Signal]) {
+			return &m.ladder[i].Enter[k]
 		}
 	}
-	return ""
+	return nil
+}
+
+// reading is a condition with the figure of its signal.
+func (m *Machine) reading(c Condition) string {
+	if v := m.last[c.Signal]; !math.IsNaN(v) {
+		return fmt.Sprintf("%v, is %.3g", c, v)
+	}
+	return fmt.Sprintf("%v is not told", c.Signal)
 }
 
-// clear tells whether all conditions to leave the level hold. What is not told holds no level: without traffic there is
+// holding are the conditions to leave the level that do not hold. What is not told holds no level: without traffic there is
 // nothing to protect.
-func (m *Machine) clear() bool {
+func (m *Machine) holding() (out []Condition) {
 	for _, c := range m.ladder[m.at-1].leave() {
 		if v := m.last[c.Signal]; !math.IsNaN(v) && !c.holds(v) {
-			return false
+			out = append(out, c)
 		}
 	}
-	return true
+	return out
+}
+
+// readings are those of several conditions.
+func (m *Machine) readings(list []Condition) string {
+	out := make([]string, len(list))
+	for i, c := range list {
+		out[i] = m.reading(c)
+	}
+	return strings.Join(out, "; ")
 }
 
 // mayClimb tells whether the step up may be crossed so soon after it was crossed downward.
@@ -190,22 +207,16 @@
 	i := m.at - 1
 	m.steps[i].down = m.now
 	m.bringBack(i)
-	var list []string
-	for _, c := range m.ladder[i].leave() {
-		if v := m.last[c.Signal]; math.IsNaN(v) {
-			list = append(list, fmt.Sprintf("%v is not told", c.Signal))
-		} else {
-			list = append(list, fmt.Sprintf("%v, is %.3g", c, v))
-		}
-	}
-	m.move(i, BySignals, strings.Join(list, "; "))
+	m.move(i, BySignals, m.readings(m.ladder[i].leave()))
 }
 
 // move puts another level in force.
-func (m *Machine) move(to int, by, why string) {
-	c := Change{At: m.now, From: m.name(m.at), To: m.name(to), By: by, Why: why}
+func (m *Machine) move(to int, by, why string) { m.changed(m.name(m.at), to, by, why) }
+
+// changed puts a level in force in place of one of a name.
+func (m *Machine) changed(from string, to int, by, why string) {
 	m.at, m.since, m.by, m.why, m.calm = to, m.now, by, why, -1
-	if m.changes = append(m.changes, c); len(m.changes) > kept {
+	if m.changes = append(m.changes, Change{At: m.now, From: from, To: m.name(to), By: by, Why: why}); len(m.changes) > kept {
 		m.changes = append([]Change(nil), m.changes[1:]...)
 	}
 	m.count++
@@ -336,19 +347,11 @@
 			delete(m.release, class)
 		}
 	}
-	if is := m.name(to); to != at || is != was {
-		m.at = to
-		c := Change{At: m.now, From: was, To: is, By: ByReload, Why: "the file in force has other levels"}
-		if is == was { // in another place
-			return
-		}
-		m.since, m.by, m.why, m.calm = m.now, c.By, c.Why, -1
-		m.changes = append(m.changes, c)
-		m.count++
-		if m.pinned && !l.has(was) {
-			m.pinned = false
-		}
+	if m.at = to; m.name(to) == was {
+		return
 	}
+	m.changed(was, to, ByReload, "the file in force has other levels")
+	m.pinned = m.pinned && l.has(was)
 }
 
 func (l Ladder) has(name string) bool {
--- a/internal/level/machine_test.go
+++ b/internal/level/machine_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"whinknot/internal/spread"
 )
 
 var epoch = time.Date(2026, 11, 1, 0, 0, 0, 0, time.UTC)
@@ -125,7 +127,7 @@
 	for name, signal := range map[string]func(n int) float64{
 		"sawtooth":       func(n int) float64 { return 0.4 * float64(n%40) / 40 },
 		"square":         func(n int) float64 { return float64(n / 20 % 2) },
-		"noise":          func(n int) float64 { return 0.2 + 0.1*(float64(mix(uint64(n))%1000)/500-1) },
+		"noise":          func(n int) float64 { return 0.2 + 0.1*(float64(spread.Mix(uint64(n))%1000)/500-1) },
 		"every tick":     func(n int) float64 { return float64(n % 2) },
 		"just over, off": func(n int) float64 { return 0.0999 + 0.11*float64(n/50%2) },
 	} {
--- a/internal/level/meter.go
+++ b/internal/level/meter.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"whinknot/internal/spread"
 )
 
 // Result is how a request ended.
@@ -115,17 +117,11 @@
 	}
 	if s.count++; s.count <= slotTimes {
 		s.times[s.count-1] = float32(took)
-	} else if i := int(mix(uint64(s.count)) % uint64(s.count)); i < slotTimes { // a reservoir, drawn the same way each time
+	} else if i := int(spread.Mix(uint64(s.count)) % uint64(s.count)); i < slotTimes { // a reservoir, drawn the same way each time
 		s.times[i] = float32(took)
 	}
 }
 
-func mix(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
-
 // Read gives the signals at a time, but for those of servers. Waiting is for how long the request that waits longest for its
 // first server has done so; 0 for none.
 func (m *Meter) Read(now time.Time, waiting time.Duration) Reading {
--- a/internal/level/meter_test.go
+++ b/internal/level/meter_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"whinknot/internal/spread"
 )
 
 func TestMeterReads(t *testing.T) {
@@ -58,7 +60,7 @@
 	now := epoch
 	for i := range 200_000 {
 		now = epoch.Add(time.Duration(i) * 5 * time.Microsecond)
-		m.Ended(now, Served, 1, float64(mix(uint64(i))%1000)/1000)
+		m.Ended(now, Served, 1, float64(spread.Mix(uint64(i))%1000)/1000)
 	}
 	if r := m.Read(now, 0); math.Abs(r[P95]-0.95) > 0.03 || r[Late] != 0 {
 		t.Errorf("p95 %v, late %v", r[P95], r[Late])
--- a/internal/level/status.go
+++ b/internal/level/status.go
@@ -1,11 +1,6 @@
 package level
 
-import (
-	"fmt"
-	"math"
-	"strings"
-	"time"
-)
+import "time"
 
 // Status is what operators are told.
 type Status struct {
@@ -53,13 +48,7 @@
 	if m.at == 0 {
 		return s
 	}
-	var waits []string
-	for _, c := range m.ladder[m.at-1].leave() {
-		if v := m.last[c.Signal]; !math.IsNaN(v) && !c.holds(v) {
-			waits = append(waits, fmt.Sprintf("%v, is %.3g", c, v))
-		}
-	}
-	s.Waits = strings.Join(waits, "; ")
+	s.Waits = m.readings(m.holding())
 	s.Earliest = m.earliest()
 	if calm := m.now.Add(m.ladder[m.at-1].Calm - max(m.calm, 0)); calm.After(s.Earliest) {
 		s.Earliest = calm
--- a/internal/sidecar/errorpage.go
+++ b/internal/sidecar/errorpage.go
@@ -81,11 +81,7 @@
 		return nil
 	}
 	if a := out.Answer; a != nil {
-		fixed := &answer{status: a.Status, body: []byte(a.Body), header: http.Header{}}
-		if a.Location != "" {
-			fixed.header.Set("Location", a.Location)
-		}
-		return &standIn{fixed: fixed.bareFor(out.Method), status: vhost.Own}
+		return &standIn{fixed: fixedAnswer(a.Status, a.Body, a.Location, out.Method), status: vhost.Own}
 	}
 	k := r.body
 	if k.out.upload != nil || !out.Page && a.ran && (r.class != whinknot.Safe || r.door.effect(&out) != whinknot.Safe) {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -272,11 +272,10 @@
 	c.event.Kind, c.event.Request = whinknot.EvRequest, l.lastID
 	l.calls[l.lastID] = c
 	l.counts.pending.Add(1)
-	c.backstop = &due{at: c.event.Due + float64(backstop.Milliseconds()), call: c}
 	if l.levels != nil {
-		l.admit(c)
-		c.backstop.at = c.event.Due + float64(backstop.Milliseconds())
+		l.admit(c) // it may cut the time
 	}
+	c.backstop = &due{at: c.event.Due + float64(backstop.Milliseconds()), call: c}
 	heap.Push(&l.agenda, c.backstop)
 	l.handle(&c.event)
 }
--- a/internal/sidecar/routed.go
+++ b/internal/sidecar/routed.go
@@ -39,11 +39,7 @@
 	case rule == nil:
 		return taken{fixed: &answer{status: http.StatusNotFound, body: []byte("no route\n")}}
 	case rule.Answer != nil:
-		a := &answer{status: rule.Answer.Status, body: []byte(rule.Answer.Body), header: http.Header{}}
-		if to := rule.Answer.Redirect(req); to != "" {
-			a.header.Set("Location", to)
-		}
-		return taken{fixed: a.bareFor(req.Method)}
+		return taken{fixed: fixedAnswer(rule.Answer.Status, rule.Answer.Body, rule.Answer.Redirect(req), req.Method)}
 	}
 	return d.dispatch(c, m, rule, d.most, req.Method, func(k *call) string {
 		uri := rule.Rewritten(req.Path)
@@ -55,6 +51,15 @@
 	})
 }
 
+// fixedAnswer is an answer to a method that the file gives; location is "" for one that redirects nowhere.
+func fixedAnswer(status int, body, location, method string) *answer {
+	a := &answer{status: status, body: []byte(body), header: http.Header{}}
+	if location != "" {
+		a.header.Set("Location", location)
+	}
+	return a.bareFor(method)
+}
+
 // bareFor leaves out the body that an answer to a method, or of its status, does not have.
 func (a *answer) bareFor(method string) *answer {
 	if a.bare = method == http.MethodHead || bodiless(a.status); a.bare {
--- a/internal/sidecar/sited.go
+++ b/internal/sidecar/sited.go
@@ -35,11 +35,7 @@
 	}
 	out := d.sites.Decide(v)
 	if a := out.Answer; a != nil {
-		fixed := &answer{status: a.Status, body: []byte(a.Body), header: http.Header{}}
-		if a.Location != "" {
-			fixed.header.Set("Location", a.Location)
-		}
-		return taken{fixed: fixed.bareFor(req.Method)}
+		return taken{fixed: fixedAnswer(a.Status, a.Body, a.Location, req.Method)}
 	}
 	for _, h := range out.Headers {
 		if strings.ContainsFunc(h.Value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -9,9 +9,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"whinknot/internal/spread"
 )
 
 // Spec says who chooses, and how many.
@@ -44,14 +45,7 @@
 func (r *Ring) Len() int { return len(r.zone) }
 
 // place is where a server stands on every ring.
-func place(id string) point {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	z := h.Sum64() // finished as splitmix64 is: names that differ in their end only must not stand together
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return point{z ^ z>>31, id}
-}
+func place(id string) point { return point{spread.Name(id), id} }
 
 // Add puts a server in, or into another zone.
 func (r *Ring) Add(id string, zone int) {
