Give a cold server the calls that its credit allows ahead of warm ones

Each copy has about 6 calls out. choose ranks a linked warm server with nothing out 20 to 40 over a cold one, so each copy puts its first six calls on the six warm servers, 13 copies together 13 on each, and goes to a cold one with its seventh, which its room seldom allows. The cold servers idle, answers of the warm ones take twice as long, and the room sheds.

The credit of a cold server is already a part of its even share, bounded by its age: with one call's worth of it in hand the server now comes ahead of the warm ones.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1207,6 +1207,38 @@
 	}
 }
 
+// A copy of many meets each server seldom: if it goes to a cold one only once every warm one holds a call of its, all
+// copies together drive the warm ones over while the cold ones idle.
+func TestColdServerGetsItsShareAheadOfWarmOnes(t *testing.T) {
+	entries, set := ids(6), plain()
+	set.Copies, set.Zone = 12, 1 // no server is this copy's home
+	h := start(t, set, entries...)
+	for _, s := range h.b.live {
+		s.linked = true
+	}
+	entries[5].Started = h.now
+	h.do(Event{Kind: EvList, List: ListFull, Servers: entries})
+	cold := h.b.byID[entries[5].Server]
+	call := func(id uint32, credit float64) uint32 {
+		cold.credit = credit
+		acts := h.request(id, 0)
+		if len(acts) != 1 || acts[0].Kind != ActSend {
+			t.Fatalf("%+v, want a send", acts)
+		}
+		h.do(Event{Kind: EvOutcome, Request: id, Server: acts[0].Server, Outcome: OK, Took: 20, Done: true})
+		return acts[0].Server
+	}
+	if call(1, 0.9) == cold.Server {
+		t.Error("a cold server was sent a call without the credit for one")
+	}
+	if call(2, 1) != cold.Server {
+		t.Error("a cold server with credit for a call was passed over for a warm one")
+	}
+	if cold.credit > 0 {
+		t.Errorf("the call was to spend its credit, it has %v", cold.credit)
+	}
+}
+
 // Calls beyond a tenant's quota must leave room for those within theirs: the head of a first-in queue is
 // whoever came first, and the greedy tenant mostly did.
 func TestOverQuotaLeavesRoom(t *testing.T) {
