--- a/balancer.go
+++ b/balancer.go
@@ -499,7 +499,7 @@
 		} else if s.out > 0 && b.now-s.heard > b.silence {
 			rank -= 40 // calls out and no answer for too long: over threshold already
 		} else if s.cold && s.credit >= 1 {
-			rank += 45 // its part, due now: as each copy's last resort it idles while the warm are driven over
+			rank += 45 // its part, due now: as the last resort of each copy it would idle
 		} else if s.home > 0 && b.atHome(s) {
 			rank += 40
 		} else if own := int(s.Zone) == b.set.Zone; own && b.linked(s) {
