--- a/balancer.go
+++ b/balancer.go
@@ -1028,6 +1028,7 @@
 		b.room *= serving / cmp.Or(b.serving, serving)
 		b.serving = serving
 	}
+	b.firstRoom = max(heldLeast, heldFirst*serving/float64(b.set.Copies))
 }
 
 // average is a rate a second that forgets with demandTime.
@@ -1080,7 +1081,6 @@
 	})
 	b.backups = slices.ContainsFunc(b.live, func(s *server) bool { return s.Backup })
 	b.recount()
-	b.firstRoom = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
 	b.assignHomes()
 }
 
