Do not take the demand of a copy's first seconds for a quiet time; weigh pace more

The mean of what is sent starts from nothing with a time constant of 2 s, so the queue, bounded by it, is shorter than one call for the cheap classes (arrive, bound), and the credit of unmeasured servers is as far under the demand (usualLoad). Every copy starts so, and each that restarts. Also seen: fast servers answer in 0.15 of the threshold and slow ones in 0.7 with as many calls out at each: a sparse copy sends one call to each linked server before a second one to a fast one.

The mean is divided by the part of its time that it has seen (at least a fifth). Pace weighs 12, not 7, in the rank.

--- a/balancer.go
+++ b/balancer.go
@@ -33,6 +33,7 @@
 	sharedPart    = 0.4     // part of the tier in trouble from which the cause is held to be shared
 	coldPart      = 0.7     // part of its present share that a cold server is given at most
 	demandTime    = 2000.0  // time constant of the demand average
+	demandLeast   = 0.2     // part of it that counts as seen at the least
 	queuePart     = 0.3     // longest wait in the queue, as a share of the mean aim
 	overRoom      = 0.5     // part of the room that a dense copy's calls beyond a quota may find taken
 	quotaBurst    = 2000.0  // a tenant may run ahead of its quota by this time's worth
@@ -41,7 +42,7 @@
 	repeatWindow  = 10000.0 // within this time
 	latencyGain   = 0.05    // weight of a new answer in a class's mean latency
 	servedGain    = 0.005   // and of a call in the served part of its class, which the goal counts by the day
-	paceWeight    = 7.0     // a server's mean answer over the tier's, against its share of credit left
+	paceWeight    = 12.0    // a server's mean answer over the tier's, against its share of credit left
 	patience      = 6.0     // mean answers of its class that a call waits for a server that says nothing
 	probeCount    = 3       // servers asked for each call where probes are all but free
 	probePrice    = 0.02    // dearest: points of the goal for a probe of each choice at every tier
@@ -306,7 +307,7 @@
 	b.taken.add(b.now)
 	// queue_length: as many calls as were sent of late in the longest wait; unbounded with no server.
 	over := b.overQuota(q)
-	bound := (1 + queuePart*b.meanAim/1000*b.sends.rate) * b.valueShare(q, over)
+	bound := (1 + queuePart*b.meanAim/1000*b.sends.rate()) * b.valueShare(q, over)
 	full, most := len(b.live) > 0 && len(b.queue) > int(bound), b.set.Limits.MaxOpen
 	full = full || b.mustNotWait()
 	full = full || over && b.firstRoom > heldLeast && float64(b.out) >= overRoom*b.room
@@ -885,7 +886,7 @@
 	if s.cold {
 		age := b.now - s.Started
 		if age < b.set.Safety.Ramp {
-			from, share := b.set.Safety.ColdFrom, b.arrivals.rate/float64(max(len(b.live), 1))
+			from, share := b.set.Safety.ColdFrom, b.arrivals.rate()/float64(max(len(b.live), 1))
 			return min(load, coldPart*share*(from+(1-from)*max(age, 0)/b.set.Safety.Ramp))
 		}
 		s.cold = false
@@ -896,7 +897,7 @@
 // usualLoad is the mean of those measured; before any is, what demand asks of each.
 func (b *Balancer) usualLoad() float64 {
 	if b.measured == 0 {
-		return headroom * b.sends.rate / float64(max(len(b.live), 1))
+		return headroom * b.sends.rate() / float64(max(len(b.live), 1))
 	}
 	return b.meanLoad
 }
@@ -1031,14 +1032,21 @@
 	b.firstRoom = max(heldLeast, heldFirst*serving/float64(b.set.Copies))
 }
 
-// average is a rate a second that forgets with demandTime.
-type average struct{ rate, at float64 }
+// average is a rate a second that forgets with demandTime. Weight is the part of that time that it has
+// seen: without it the first seconds of a copy would pass for quiet ones.
+type average struct{ sum, at, weight float64 }
 
 func (a *average) add(now, n float64) {
-	a.rate = a.rate*math.Exp((a.at-now)/demandTime) + n*1000/demandTime
-	a.at = now
+	kept := 0.0
+	if a.at > 0 {
+		kept = math.Exp((a.at - now) / demandTime)
+		a.weight = 1 - kept + kept*a.weight
+	}
+	a.sum, a.at = kept*a.sum+n*1000/demandTime, now
 }
 
+func (a *average) rate() float64 { return a.sum / max(a.weight, demandLeast) }
+
 // --- The list of servers.
 
 func (b *Balancer) list(ev *Event) {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -139,7 +139,7 @@
 	set := plain()
 	h := start(t, set, ids(1)...)
 	h.b.room, h.b.roomAt = 1, math.Inf(1)
-	h.b.sends = average{20, h.now}
+	h.b.sends = average{20, h.now, 1}
 	if acts := h.request(1, 0); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("first call: %+v", acts)
 	}
@@ -162,7 +162,7 @@
 
 func TestCheapCallsAreRefusedFirst(t *testing.T) {
 	h := start(t, plain(), ids(1)...)
-	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{60, h.now}
+	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{60, h.now, 1}
 	h.request(1, 2)
 	for id := uint32(2); id < 5; id++ {
 		h.request(id, 2)
@@ -1094,7 +1094,7 @@
 	if acts := h.request(1, 2); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("with a free server: %+v", acts)
 	}
-	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{20, h.now}
+	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{20, h.now, 1}
 	if acts := h.request(2, 2); len(acts) != 0 {
 		t.Errorf("want the call to wait: %+v", acts)
 	}
@@ -1193,7 +1193,7 @@
 	entries[9].Started = 1000
 	h := start(t, plain(), entries...)
 	s := h.b.byID[entries[9].Server]
-	h.b.arrivals = average{100, h.now}
+	h.b.arrivals = average{100, h.now, 1}
 	h.b.measured, h.b.meanLoad = 1, 1e6
 	for _, age := range []float64{0, 5000, 19999} {
 		h.b.now = 1000 + age
@@ -1239,13 +1239,31 @@
 	}
 }
 
+// A copy's first seconds must not pass for quiet ones: its queue and the credit of its servers follow what is sent, and
+// would hold a tenth of what comes.
+func TestDemandOfTheFirstSeconds(t *testing.T) {
+	for _, rate := range []float64{2, 20, 200} {
+		a, now := average{}, 5000.0
+		for range int(8 * rate) {
+			a.add(now, 1)
+			now += 1000 / rate
+			if got := a.rate(); now > 5000+max(500, 2000/rate) && (got < 0.7*rate || got > 1.6*rate) {
+				t.Errorf("%v a second: %v after %v ms", rate, got, now-5000)
+			}
+		}
+		if got := a.rate(); got < 0.9*rate || got > 1.3*rate {
+			t.Errorf("%v a second: %v in the end", rate, got)
+		}
+	}
+}
+
 // Calls beyond a tenant's quota must leave room for those within theirs: the head of a first-in queue is
 // whoever came first, and the greedy tenant mostly did.
 func TestOverQuotaLeavesRoom(t *testing.T) {
 	set := plain()
 	set.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
 	h := start(t, set, ids(4)...)
-	h.b.room, h.b.roomAt, h.b.sends = 20, math.Inf(1), average{1000, h.now}
+	h.b.room, h.b.roomAt, h.b.sends = 20, math.Inf(1), average{1000, h.now, 1}
 	h.b.out = 12
 	ask := func(id uint32, tenant uint16) []Action {
 		return h.do(Event{Kind: EvRequest, Request: id, Tenant: tenant, Due: h.now + 1000})
