--- a/balancer.go
+++ b/balancer.go
@@ -18,6 +18,7 @@
 	cutTo         = 0.9     // paper, VI-C: over threshold, load becomes this share of goodput
 	windowTime    = 1000.0  // paper, IV-A: latency statistics cover one second
 	windowSamples = 20      // fewest samples whose second largest is a p95
+	firstSamples  = 5       // fewest while there have been no more at all: the largest stands in for it
 	ringSize      = 32      // samples kept for each server; a little over a window
 	poolSize      = 128     // samples kept of the tier, to fill sparse windows
 	tail          = 0.95    // paper, IV-A: the percentile that is held under the threshold
@@ -975,7 +976,7 @@
 	if len(b.scratch) < windowSamples {
 		b.window(b.pool[:], b.pooled)
 	}
-	if len(b.scratch) < windowSamples {
+	if len(b.scratch) < min(windowSamples, max(firstSamples, b.pooled)) {
 		return 0, false
 	}
 	slices.Sort(b.scratch)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1257,6 +1257,40 @@
 	}
 }
 
+// A copy that gets few calls has no twenty answers for seconds after its start. The few it has must move its room: while all are quick
+// it is not held at the first one, beside idle servers; while they are slow it does not rise.
+func TestFirstAnswersMoveTheRoom(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		took  float64
+		count int
+		rises bool
+	}{
+		{"quick", 50, firstSamples, true},
+		{"slow", 900, firstSamples, false},
+		{"too few", 50, firstSamples - 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := plain()
+			set.Copies = 10
+			h := start(t, set, ids(8)...)
+			first := h.b.firstRoom
+			for id := uint32(1); id <= uint32(c.count); id++ {
+				acts := h.request(id, 0)
+				h.do(Event{Kind: EvOutcome, Request: id, Server: acts[0].Server, Outcome: OK, Took: c.took, Done: true})
+			}
+			for id := uint32(101); id <= 103; id++ { // it rises only as far as it is used
+				h.request(id, 0)
+			}
+			h.now += windowTime
+			h.request(104, 0)
+			if rose := h.b.room > first; rose != c.rises {
+				t.Errorf("room %v after %d answers, %v at first", h.b.room, c.count, first)
+			}
+		})
+	}
+}
+
 // Calls beyond a tenant's quota must leave room for those within theirs: the head of a first-in queue is
 // whoever came first, and the greedy tenant mostly did.
 func TestOverQuotaLeavesRoom(t *testing.T) {
