--- a/balancer.go
+++ b/balancer.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 )
@@ -76,6 +75,9 @@
 	asked             bool    // a probe is out
 	held, heldAt      float64 // calls it holds, as it told a probe, and when
 	home              float64 // part of this server that is this copy's own
+	turn              uint64  // its place in the order in which all copies deal servers out
+	inLive, inHomes   bool    // it is in those lists
+	leaving           bool    // and in that of servers that no list named
 	cold              bool
 	measured          bool // has a load of its own; others take the mean
 	cut               bool // at the floor since a run of failures
@@ -158,6 +160,7 @@
 	heldMean        float64   // mean of what servers told
 	turn            float64   // time that a call takes for each call its server held, where probes tell
 	probing         bool
+	leaving         []*server // no list names them; forgotten once nothing of theirs is out
 	homes           []*server // of the own zone, in the order in which all copies deal them out
 	requests        map[uint32]*request
 	queue, spare    []*request
@@ -1063,16 +1066,19 @@
 	if ev.List != ListDelta {
 		for _, s := range b.byID {
 			s.listed = false
+			b.leave(s)
 		}
 	}
 	for i := range ev.Servers {
-		if s := b.entry(&ev.Servers[i]); s.listed && !slices.Contains(b.live, s) {
+		if s := b.entry(&ev.Servers[i]); s.listed && !s.inLive {
+			s.inLive = true
 			b.live = append(b.live, s)
 		}
 	}
 	b.live = slices.DeleteFunc(b.live, func(s *server) bool {
 		b.closeIdle(s)
-		return !s.ready()
+		s.inLive = s.ready()
+		return !s.inLive
 	})
 	if b.mustNotWait() {
 		b.sweepAt = b.now // what waits is not to wait any longer
@@ -1085,8 +1091,13 @@
 		}
 	}
 	// Servers come and go for as long as a copy runs: what is gone for good must not be kept.
-	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool {
-		return !s.listed && s.out+s.streams == 0 && !s.asked
+	b.leaving = slices.DeleteFunc(b.leaving, func(s *server) bool {
+		done := !s.listed && s.out+s.streams == 0 && !s.asked
+		if done {
+			delete(b.byID, s.Server)
+		}
+		s.leaving = !s.listed && !done
+		return !s.leaving
 	})
 	b.backups = slices.ContainsFunc(b.live, func(s *server) bool { return s.Backup })
 	b.recount()
@@ -1125,17 +1136,30 @@
 // A copy sees only its own calls, so without this each server is loaded by chance.
 func (b *Balancer) assignHomes() {
 	zones := 1
-	b.homes = b.homes[:0]
+	b.homes = slices.DeleteFunc(b.homes, func(s *server) bool {
+		s.inHomes = s.inLive && int(s.Zone) == b.set.Zone
+		return !s.inHomes
+	})
+	var come []*server // few as a rule: they are merged into those that stay
 	for _, s := range b.live {
 		s.home = 0
 		zones = max(zones, int(s.Zone)+1)
-		if int(s.Zone) == b.set.Zone {
-			b.homes = append(b.homes, s)
+		if int(s.Zone) == b.set.Zone && !s.inHomes {
+			s.inHomes = true
+			come = append(come, s)
+		}
+	}
+	slices.SortFunc(come, func(a, c *server) int { return cmp.Compare(a.turn, c.turn) })
+	stay := len(b.homes)
+	b.homes = append(b.homes, come...)
+	for at := len(b.homes) - 1; len(come) > 0; at-- {
+		if last := len(come) - 1; stay > 0 && b.homes[stay-1].turn > come[last].turn {
+			stay--
+			b.homes[at] = b.homes[stay]
+		} else {
+			b.homes[at], come = come[last], come[:last]
 		}
 	}
-	slices.SortFunc(b.homes, func(a, c *server) int {
-		return cmp.Compare(mix(uint64(a.Server)), mix(uint64(c.Server)))
-	})
 	copies := max(b.set.Copies/zones, 1)
 	each := float64(len(b.homes)) / float64(copies)
 	from := each * float64(b.set.Rank/zones%copies)
@@ -1148,7 +1172,7 @@
 func (b *Balancer) entry(e *ServerEntry) *server {
 	s := b.byID[e.Server]
 	if s == nil {
-		s = &server{accruedAt: b.now, lastSent: -b.random(), since: b.now}
+		s = &server{accruedAt: b.now, lastSent: -b.random(), since: b.now, turn: mix(uint64(e.Server))}
 		s.reviseAt = b.now + revisePeriod*(0.2+0.8*b.random())
 		b.byID[e.Server] = s
 	}
@@ -1161,10 +1185,20 @@
 			s.cold, s.credit, s.accruedAt = true, b.random(), b.now
 		}
 	}
-	s.listed = e.State != Gone
+	if s.listed = e.State != Gone; !s.listed {
+		b.leave(s)
+	}
 	return s
 }
 
+// leave notes a server that may be gone for good.
+func (b *Balancer) leave(s *server) {
+	if !s.leaving {
+		s.leaving = true
+		b.leaving = append(b.leaving, s)
+	}
+}
+
 // wake asks for the list when that is due, and keeps one timer pending while calls wait or it is to be asked.
 func (b *Balancer) wake() {
 	if b.askAt != 0 && b.now >= b.askAt {
--- /dev/null
+++ b/lists_test.go
@@ -0,0 +1,90 @@
+package whinknot
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// What a list leaves behind is kept up by its changes; after each it has to be what a plain reading of all servers gives.
+func TestListsAreKeptByTheirChanges(t *testing.T) {
+	for seed := range uint64(30) {
+		set, r := plain(), rand.New(rand.NewPCG(seed, 5))
+		set.Copies, set.Rank, set.Zone = 6, int(seed%6), int(seed%3)
+		h := start(t, set)
+		told, open := map[uint32]ServerEntry{}, map[uint32]uint32{}
+		for step := range uint32(300) {
+			h.now += 20
+			ev := Event{Kind: EvList, List: ListDelta}
+			if r.IntN(20) == 0 {
+				ev.List = ListFull
+				clear(told)
+			}
+			for range r.IntN(1 + []int{4, 120}[r.IntN(2)]) {
+				e := ServerEntry{Server: uint32(r.IntN(200)), Zone: uint8(r.IntN(3)), State: []ServerState{Ready, Ready, Draining, Gone}[r.IntN(4)]}
+				told[e.Server] = e
+				ev.Servers = append(ev.Servers, e)
+			}
+			h.do(ev)
+			checkLists(t, h.b, told)
+			for _, a := range h.request(step, 0) {
+				if a.Kind == ActSend {
+					open[a.Request] = a.Server
+				}
+			}
+			for id, server := range open {
+				if r.IntN(3) == 0 {
+					h.do(Event{Kind: EvOutcome, Request: id, Server: server, Outcome: OK, Took: 20, Done: true})
+					delete(open, id)
+				}
+			}
+			if t.Failed() {
+				t.Fatalf("seed %d, step %d", seed, step)
+			}
+		}
+	}
+}
+
+// checkLists holds what the balancer keeps against the entries told last.
+func checkLists(t *testing.T, b *Balancer, told map[uint32]ServerEntry) {
+	t.Helper()
+	var live, homes []uint32
+	listed := 0
+	for id, e := range told {
+		if e.State != Gone {
+			listed++
+		}
+		if e.State == Ready {
+			live = append(live, id)
+			if int(e.Zone) == b.set.Zone {
+				homes = append(homes, id)
+			}
+		}
+	}
+	slices.Sort(live)
+	slices.SortFunc(homes, func(a, c uint32) int { return cmp.Compare(mix(uint64(a)), mix(uint64(c))) })
+	var gotLive, gotHomes []uint32
+	out, kept := 0, 0
+	for _, s := range b.live {
+		gotLive = append(gotLive, s.Server)
+	}
+	slices.Sort(gotLive)
+	for _, s := range b.homes {
+		gotHomes = append(gotHomes, s.Server)
+	}
+	for _, s := range b.byID {
+		if !s.listed && s.out == 0 {
+			kept++
+		}
+		if s.listed {
+			out++
+		}
+	}
+	if !slices.Equal(live, gotLive) || !slices.Equal(homes, gotHomes) {
+		t.Errorf("live %v, want %v; homes %v, want %v", gotLive, live, gotHomes, homes)
+	}
+	if out != listed || kept > 0 {
+		t.Errorf("%d servers listed, want %d; %d kept that are gone", out, listed, kept)
+	}
+}
