Have a loop's ask return only once its work has run or never will, and say which

Cause: on a busy machine the race detector found pool.open reading its count while the loop wrote it, in TestReloadsUnderLoad (Instance.share beside pool.stop). loop.ask returned as soon as ended was closed, but a loop that is told to end may still take from its mail: select picks either of two that are ready. askWithin had the same, and front.have, haveUpload and rpcPlan.Do chose at random between an answer that was there and the end of the loop, so the last answer of a pool could be dropped.

Change: the loop closes over when it has ended; ask and askWithin wait for that, then look once more whether their work ran, and say so. ask is askWithin without an end. Waiters for an answer look for it once more after over (lastWord). pool.running was the same thing and is gone. Status reads a pool that is over by itself, and a pool leaves the instance's set in the same moment as its counts join the past's, so totals no longer dip in between. Checked and left: calls of post wait for nothing.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -196,10 +196,8 @@
 		}
 	}
 	_, err := c.reader.Peek(1) // its caller leaves, or sends a next request already
-	select {
-	case a := <-answered:
+	if a, ok := lastWord(answered); ok {
 		return a, true
-	default:
 	}
 	if err != nil {
 		loop.post(func() { loop.gone(k) })
@@ -208,8 +206,8 @@
 	select {
 	case a := <-answered:
 		return a, true
-	case <-loop.ended:
-		return answer{}, false
+	case <-loop.over:
+		return lastWord(answered)
 	}
 }
 
@@ -230,15 +228,17 @@
 			select {
 			case a = <-answered:
 				return a, true, true
-			case <-loop.ended:
-				return a, false, true
+			case <-loop.over:
+				a, ok = lastWord(answered)
+				return a, ok, true
 			}
 		default:
 			up.settle()
 			return a, false, false
 		}
-	case <-loop.ended:
-		return a, false, true
+	case <-loop.over:
+		a, ok = lastWord(answered)
+		return a, ok, true
 	}
 	f.complain(c, up.err) // what the caller sent cannot be read on
 	return a, false, true
--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -82,23 +82,3 @@
 	}
 	return nil
 }
-
-// askWithin has the loop run f and waits until it has, or ctx ends. What was asked is done then all the same, only later.
-func (l *loop) askWithin(ctx context.Context, f func()) error {
-	done := make(chan struct{})
-	select {
-	case l.mail <- func() { f(); close(done) }:
-	case <-l.ended:
-		return context.Canceled
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-l.ended:
-		return context.Canceled
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/sidecar/instance.go
+++ b/internal/sidecar/instance.go
@@ -375,7 +375,6 @@
 		for _, p := range g.pools {
 			if p.holders--; p.holders == 0 {
 				ends = append(ends, p)
-				delete(i.pools, p)
 			}
 		}
 	}
@@ -387,6 +386,7 @@
 		for _, p := range ends {
 			p.stop()
 			i.mu.Lock()
+			delete(i.pools, p) // with its counts, or a status would miss them for a moment
 			i.past.Served += p.loop.served
 			i.past.Refused += p.loop.refused
 			i.past.Failed += p.loop.failures
@@ -509,13 +509,16 @@
 		for _, c := range p.set.Classes {
 			ps.Classes = append(ps.Classes, c.Name)
 		}
-		p.loop.ask(func() {
+		read := func() {
 			l := p.loop
 			ps.Servers, ps.Usable, ps.Open = len(l.listed), l.usable, len(l.calls)
 			ps.Served, ps.Refused, ps.Failed = l.served, l.refused, l.failures
 			ps.Level = l.levelStatus()
 			times = append(times, l.recent...)
-		})
+		}
+		if !p.loop.ask(read) {
+			read() // the loop is over: nobody writes any more
+		}
 		s.Served, s.Refused, s.Failed = s.Served+ps.Served, s.Refused+ps.Refused, s.Failed+ps.Failed
 		p.up.mu.Lock()
 		ps.Connections, ps.Most = p.up.open, p.up.most
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"container/list"
+	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"net/http"
@@ -113,7 +115,8 @@
 	balancer  *whinknot.Balancer
 	actions   []whinknot.Action
 	mail      chan func()
-	ended     chan struct{}  // closed when the program ends
+	ended     chan struct{}  // closed by the owner: the loop is to end
+	over      chan struct{}  // closed once it has: nothing that was posted runs any more
 	sending   sync.WaitGroup // attempts
 	up        *upstream
 	watch     func() // asks for the list to be watched
@@ -143,7 +146,7 @@
 	now := time.Now()
 	l := &loop{
 		start: now, startMS: float64(now.UnixMicro()) / 1000,
-		mail: make(chan func(), 256), ended: make(chan struct{}), up: up, watch: func() {},
+		mail: make(chan func(), 256), ended: make(chan struct{}), over: make(chan struct{}), up: up, watch: func() {},
 		calls: map[uint32]*call{}, ids: map[string]bool{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{}, told: map[string]Target{},
 		counts: newCounts(len(cfg.Site.Settings.Classes)),
@@ -160,21 +163,54 @@
 	return l, err
 }
 
-// post has the loop run f, unless it has ended; it waits while the loop is behind.
+// post has the loop run f, unless it ends before; it waits while the loop is behind. Nobody may take from its return that
+// f has run or will.
 func (l *loop) post(f func()) {
 	select {
 	case l.mail <- f:
-	case <-l.ended:
+	case <-l.over:
 	}
 }
 
-// ask has the loop run f and waits until it has.
-func (l *loop) ask(f func()) {
+// ask has the loop run f and waits until it has, or never will as the loop is over, and tells which. Told to end, a loop may
+// still take f: only over says that it does not run.
+func (l *loop) ask(f func()) bool { return l.askWithin(context.Background(), f) == nil }
+
+// errOver is what a loop was asked too late.
+var errOver = errors.New("it has ended")
+
+// askWithin does so until ctx ends. What was asked then may be done all the same, only later: what f writes is not to be read.
+func (l *loop) askWithin(ctx context.Context, f func()) error {
 	done := make(chan struct{})
-	l.post(func() { f(); close(done) })
 	select {
+	case l.mail <- func() { f(); close(done) }:
+	case <-l.over:
+		return errOver
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-l.over:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select { // the last thing that it did, or never
 	case <-done:
-	case <-l.ended:
+		return nil
+	default:
+		return errOver
+	}
+}
+
+// lastWord is the answer that is given once the loop is over, or has just been: both may be so at once.
+func lastWord(answered <-chan answer) (answer, bool) {
+	select {
+	case a := <-answered:
+		return a, true
+	default:
+		return answer{}, false
 	}
 }
 
@@ -187,7 +223,9 @@
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
+// run is the loop's goroutine, until ended is closed.
 func (l *loop) run() {
+	defer close(l.over)
 	for {
 		select {
 		case <-l.ended:
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -26,15 +26,13 @@
 	bounds  bodies // of what streams; the limit of a request's body is its listener's
 	source  *source
 	holders int // live generations that send to it; guarded by Instance.mu
-	running chan struct{}
 }
 
 // newPool makes a pool that may hold so many connections. It does nothing before start.
 func newPool(spec *operator.Pool, most int, counted *ledger) (*pool, error) {
 	p := &pool{
 		name: spec.Name, spec: *spec, set: spec.Settings(),
-		running: make(chan struct{}),
-		bounds:  bodies{idle: time.Duration(spec.StreamIdle), total: time.Duration(spec.StreamTime)},
+		bounds: bodies{idle: time.Duration(spec.StreamIdle), total: time.Duration(spec.StreamTime)},
 	}
 	p.up = newUpstream(p.set.Limits, p.set.Safety.DrainGrace, most)
 	p.up.ledger = counted
@@ -54,10 +52,7 @@
 // start has the pool's loop run, and its servers told; those known already at once. Before is the state of the levels of the pool
 // in whose place it is; nil for none.
 func (p *pool) start(known []operator.Server, before *level.Machine) {
-	go func() {
-		p.loop.run()
-		close(p.running)
-	}()
+	go p.loop.run()
 	spec := p.spec // a reload may change the pool's
 	p.loop.post(func() {
 		p.loop.setLevels(&spec, before)
@@ -97,7 +92,7 @@
 	p.loop.post(func() { p.loop.handle(&whinknot.Event{Kind: whinknot.EvLimit, MaxOpen: open}) })
 }
 
-// open is the number of requests that the pool holds.
+// open is the number of requests that the pool holds; none once it has ended.
 func (p *pool) open() int {
 	n := 0
 	p.loop.ask(func() { n = len(p.loop.calls) })
@@ -113,7 +108,7 @@
 		}
 	})
 	close(p.loop.ended)
-	<-p.running
+	<-p.loop.over
 	p.loop.sending.Wait()
 	p.up.shut()
 	slog.Info("pool ended", "pool", p.name)
--- a/internal/sidecar/rpc.go
+++ b/internal/sidecar/rpc.go
@@ -408,12 +408,11 @@
 	for {
 		select {
 		case a := <-answered:
-			r := a.reply()
-			if a.status == statusRefused && p.told && time.Since(p.arrived) >= millis(k.wait) {
-				r.Status = http.StatusGatewayTimeout // the caller's own time is over, whatever else
+			return p.reply(&a)
+		case <-loop.over:
+			if a, ok := lastWord(answered); ok {
+				return p.reply(&a)
 			}
-			return r
-		case <-loop.ended:
 			return nil
 		case <-ended:
 			if errors.Is(context.Cause(ctx), grpcfront.ErrEnding) {
@@ -426,6 +425,15 @@
 	}
 }
 
+// reply is the answer to this call as its caller is told it.
+func (p *rpcPlan) reply(a *answer) *grpcfront.Reply {
+	r := a.reply()
+	if a.status == statusRefused && p.told && time.Since(p.arrived) >= millis(p.call.wait) {
+		r.Status = http.StatusGatewayTimeout // the caller's own time is over, whatever else
+	}
+	return r
+}
+
 // reply is the answer as a gRPC caller is told it.
 func (a *answer) reply() *grpcfront.Reply {
 	if a.rpc != nil {
