Add a fleet emulator over the real module, with a checker of the four rules

Need: what is harmless at one sidecar can hurt when hundreds do it, and loopback trials reach a few processes in real time.

Change: internal/emulate plays copies, servers, discovery and callers in virtual time: one clock, one seed, named streams of random numbers so that variants see the same arrivals and work. Decisions are the real ones: the module through its events and actions, subset.Ring and Keeper, level.Machine, hold.Set; the pool is told as in an operator file and checked by the same code (operator.DecodeText, Pool.CheckRules). Servers are cores behind a bounded queue, cold ramp, fall, handshake, connection limit; faults are slow, silent, crash, replace, zone, cut, restart, stall, list-late, list-short, hold. internal/rules checks the four rules over facts alone and keeps the margins. Seven scenarios in deploy/scenarios.

Result: the server model waits as M/M/1, M/M/4, M/M/16, M/D/1 and M/G/1 have it, within 99.9% intervals of 16 runs; Little's law holds to 1e-9 in each run; planted breaks of each rule are found; equal seeds give equal hashes of all facts with one processor and with eight, with and without the race detector.

--- /dev/null
+++ b/internal/emulate/model_test.go
@@ -0,0 +1,174 @@
+package emulate
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// feed plays a Poisson process of work straight into a server, and gives the mean time that requests wait for a core.
+func feed(seed uint64, spec *Servers, rate float64, f shape, mean float64, n int) float64 {
+	c := &clock{}
+	s := &server{spec: spec, w: c, speed: 1, slowed: 1, started: -1, fell: func() {}}
+	r := streams(seed).of("feed")
+	waited, counted, at := 0.0, 0, 0.0
+	for i := range n {
+		at += r.ExpFloat64() * 1000 / rate
+		work := mean * f(r.Float64())
+		c.at(at, func() {
+			came := c.now
+			s.offer(&job{work: work, done: func(jobOutcome) {
+				if i > n/10 {
+					waited += c.now - came - work
+					counted++
+				}
+			}})
+		})
+	}
+	for c.next() < math.Inf(1) {
+		c.step()
+	}
+	return waited / float64(counted)
+}
+
+// erlangC is the part of the requests that wait for one of c cores at a load of a cores.
+func erlangC(c int, a float64) float64 {
+	b := 1.0
+	for k := 1; k <= c; k++ {
+		b = a * b / (float64(k) + a*b)
+	}
+	rho := a / float64(c)
+	return b / (1 - rho + rho*b)
+}
+
+// The model of a server waits as theory has it: M/M/1, M/M/c and M/G/1 (Pollaczek and Khinchine), within the 99.9% interval of
+// independent runs.
+func TestServerAgainstTheory(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		cores     int
+		rate      float64
+		shape     string
+		deviation float64
+		want      float64 // ms
+	}{
+		{"M/M/1 at 0.7", 1, 70, "exponential", 0, 0.7 / 0.3 * 10},
+		{"M/M/4 at 0.8", 4, 320, "exponential", 0, erlangC(4, 3.2) * 10 / (4 * 0.2)},
+		{"M/M/16 at 0.9", 16, 1440, "exponential", 0, erlangC(16, 14.4) * 10 / (16 * 0.1)},
+		{"M/D/1 at 0.6", 1, 60, "fixed", 0, 0.6 / 0.4 * 10 / 2},
+		{"M/G/1 lognormal at 0.6", 1, 60, "lognormal", 1.5, 0.6 / 0.4 * 10 * (1 + 1.5*1.5) / 2},
+		{"M/G/1 uniform at 0.5", 1, 50, "uniform", 0, 0.5 / 0.5 * 10 * (1 + 1./3) / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f, ok := newShape(c.shape, c.deviation)
+			if !ok {
+				t.Fatal("no such shape")
+			}
+			const runs = 16
+			var means []float64
+			for i := range uint64(runs) {
+				means = append(means, feed(i+1, &Servers{Cores: c.cores, Queue: 1 << 30}, c.rate, f, 10, 30_000))
+			}
+			mean, deviation := stat.MeanStdDev(means, nil)
+			half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: runs - 1}.Quantile(0.9995) * deviation / math.Sqrt(runs)
+			if math.Abs(mean-c.want) > half || half > 0.2*c.want {
+				t.Errorf("waits %.3f ms ± %.3f, theory has %.3f", mean, half, c.want)
+			}
+		})
+	}
+}
+
+// A queue that is full answers so, and what its callers have left is not begun.
+func TestServerQueue(t *testing.T) {
+	c := &clock{}
+	s := &server{spec: &Servers{Cores: 1, Queue: 2}, w: c, speed: 1, slowed: 1, started: -1, fell: func() {}}
+	var told []jobOutcome
+	var at []float64
+	jobs := make([]*job, 4)
+	for i := range jobs {
+		jobs[i] = &job{work: 10, done: func(o jobOutcome) { told, at = append(told, o), append(at, c.now) }}
+		s.offer(jobs[i])
+	}
+	jobs[1].gone = true
+	for c.next() < math.Inf(1) {
+		c.step()
+	}
+	if !slices.Equal(told, []jobOutcome{jobFull, jobDone, jobDone}) || at[2] != 20 {
+		t.Errorf("told %v at %v", told, at)
+	}
+	if s.held() != 0 {
+		t.Errorf("%d are held", s.held())
+	}
+}
+
+// A server that ends loses what waits and what runs, once, and what ran then does not come back when it serves again.
+func TestServerEnds(t *testing.T) {
+	c := &clock{}
+	s := &server{spec: &Servers{Cores: 2, Queue: 9, ColdFrom: 0.5, Ramp: Duration(1e9)}, w: c, speed: 1, slowed: 1, started: -1, fell: func() {}}
+	told := map[int][]jobOutcome{}
+	for i := range 5 {
+		s.offer(&job{work: 10, done: func(o jobOutcome) { told[i] = append(told[i], o) }})
+	}
+	c.at(5, s.crash)
+	c.at(6, s.restart)
+	c.at(7, func() { s.offer(&job{work: 10, done: func(o jobOutcome) { told[5] = append(told[5], o) }}) })
+	for c.next() < math.Inf(1) {
+		c.step()
+	}
+	for i := range 5 {
+		if !slices.Equal(told[i], []jobOutcome{jobLost}) {
+			t.Errorf("request %d: %v", i, told[i])
+		}
+	}
+	if !slices.Equal(told[5], []jobOutcome{jobDone}) || c.now < 7+10/0.51 {
+		t.Errorf("after the restart: %v at %v", told[5], c.now)
+	}
+}
+
+// What is due at one instant happens in the order in which it was asked for, and what is asked for in the past now.
+func TestClockOrder(t *testing.T) {
+	c := &clock{}
+	const n = 5000
+	var order []int
+	for i := range n {
+		c.at(float64(10-i%2*5), func() { order = append(order, i) })
+	}
+	c.at(7, func() {
+		c.at(3, func() { order = append(order, -1) })
+		c.after(math.NaN(), func() { order = append(order, -2) })
+		c.at(10, func() { order = append(order, n) })
+	})
+	for c.next() < math.Inf(1) {
+		c.step()
+	}
+	var want []int
+	for i := 1; i < n; i += 2 {
+		want = append(want, i)
+	}
+	want = append(want, -1, -2)
+	for i := 0; i < n; i += 2 {
+		want = append(want, i)
+	}
+	if want = append(want, n); !slices.Equal(order, want) {
+		t.Errorf("%d things in another order: %v ...", len(order), order[:10])
+	}
+}
+
+// The shapes of work have the mean 1.
+func TestShapes(t *testing.T) {
+	for _, name := range []string{"fixed", "exponential", "lognormal", "uniform"} {
+		f, _ := newShape(name, 1.2)
+		sum := 0.0
+		const n = 200_000
+		for i := range n {
+			sum += f((float64(i) + 0.5) / n)
+		}
+		if sum/n < 0.995 || sum/n > 1.005 {
+			t.Errorf("%s: mean %v", name, sum/n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulate/result.go
@@ -0,0 +1,208 @@
+package emulate
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"whinknot/internal/rules"
+)
+
+// Result is what came of a run. Counts are of requests that came after the warmup, with all their tries, unless a field says else.
+type Result struct {
+	Scenario string        `json:"scenario"`
+	Variant  string        `json:"variant,omitempty"`
+	Seed     uint64        `json:"seed"`
+	Classes  []ClassResult `json:"classes"`
+	Asked    int           `json:"asked"`
+	Tries    int           `json:"tries"`
+	Worth    float64       `json:"worth"`  // asked for
+	Earned   float64       `json:"earned"` // answered in time, and of late answers the part that their class gives
+	Share    float64       `json:"share"`  // earned of worth
+	P50      float64       `json:"p50_ms"` // of answers, each from its try's beginning
+	P95      float64       `json:"p95_ms"`
+	P99      float64       `json:"p99_ms"`
+
+	// Of the whole run:
+	Attempts     int           `json:"attempts"`
+	PerRequest   float64       `json:"attempts_per_request"`
+	Connections  int           `json:"connections"` // opened
+	Lists        int           `json:"lists"`       // told to copies
+	Backstops    int           `json:"backstops"`   // calls that the module left unanswered
+	LevelChanges int           `json:"level_changes"`
+	Falls        int           `json:"falls"` // cold servers pushed over
+	Breaks       []string      `json:"breaks"`
+	BreakCount   int           `json:"break_count"`
+	Margins      rules.Margins `json:"margins"`
+	Little       Little        `json:"little"`
+	Course       []Second      `json:"course"`
+	Events       uint64        `json:"events"`
+	Hash         string        `json:"hash"` // of all facts in their order: equal for equal runs
+
+	attempts, connections, lists, backstops, levelChanges int
+	spread                                                *hdrhistogram.Histogram
+	last                                                  float64
+	inside                                                int
+	waited                                                float64
+	aims, worths, lates                                   []float64
+}
+
+// ClassResult is what came of the requests of one class, by how their last try ended.
+type ClassResult struct {
+	Name    string  `json:"name"`
+	Asked   int     `json:"asked"`
+	InTime  int     `json:"in_time"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	GaveUp  int     `json:"gave_up"` // its caller left before an answer
+	Worth   float64 `json:"worth"`
+	Earned  float64 `json:"earned"`
+}
+
+// Little is Little's law over the whole run: the mean number of tries inside is their rate times their mean time. Both sides are
+// counted apart, so a difference is a mistake of the emulator's.
+type Little struct {
+	Inside float64 `json:"inside"`
+	RateBy float64 `json:"rate_by_time"`
+	area   float64
+}
+
+// Second is what happened in one second of the run; also in the warmup.
+type Second struct {
+	At      float64 `json:"at_s"`
+	Tries   int     `json:"tries"`
+	InTime  int     `json:"in_time"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"` // and left
+	Worth   float64 `json:"worth"`
+	Earned  float64 `json:"earned"`
+}
+
+func newResult(sc *Scenario, seed uint64) *Result {
+	r := &Result{Scenario: sc.Name, Seed: seed, last: epoch, spread: hdrhistogram.New(1, 3_600_000_000, 3), Breaks: []string{}}
+	for _, c := range sc.Pool.Classes {
+		r.Classes = append(r.Classes, ClassResult{Name: c.Name})
+		r.aims, r.worths, r.lates = append(r.aims, c.Aim.MS()), append(r.worths, c.Worth), append(r.lates, c.Late)
+	}
+	return r
+}
+
+// second is that of a time.
+func (r *Result) second(at float64) *Second {
+	n := int((at - epoch) / 1000)
+	for len(r.Course) <= n {
+		r.Course = append(r.Course, Second{At: float64(len(r.Course))})
+	}
+	return &r.Course[n]
+}
+
+// area notes how long how many tries were inside.
+func (r *Result) area(now float64, change int) {
+	r.Little.area += float64(r.inside) * (now - r.last)
+	r.last = now
+	r.inside += change
+}
+
+// came counts a try as it begins.
+func (r *Result) came(q *asked) {
+	r.area(q.at, 1)
+	s := r.second(q.at)
+	s.Tries++
+	if q.try == 1 {
+		s.Worth += r.worths[q.class]
+	}
+	if !q.counts {
+		return
+	}
+	r.Tries++
+	if q.try == 1 {
+		c := &r.Classes[q.class]
+		c.Asked++
+		c.Worth += r.worths[q.class]
+	}
+}
+
+// settled counts a try as it ends; last tells that its caller does not ask again.
+func (r *Result) settled(q *asked, answer rules.Answer, now float64, last bool) {
+	r.area(now, -1)
+	took := now - q.at
+	r.waited += took
+	s := r.second(now)
+	earned := 0.0
+	if answer == rules.Served {
+		if earned = r.worths[q.class]; took > r.aims[q.class] {
+			earned *= r.lates[q.class]
+		}
+	}
+	switch {
+	case answer == rules.Refused:
+		s.Refused++
+	case answer != rules.Served:
+		s.Failed++
+	case took <= r.aims[q.class]:
+		s.InTime++
+	}
+	s.Earned += earned
+	if !q.counts {
+		return
+	}
+	if answer == rules.Served {
+		r.spread.RecordValue(max(int64(took*1000), 1))
+	}
+	if !last {
+		return
+	}
+	c := &r.Classes[q.class]
+	c.Earned += earned
+	switch {
+	case answer == rules.Refused:
+		c.Refused++
+	case answer == rules.Failed:
+		c.Failed++
+	case answer == 0:
+		c.GaveUp++
+	case took <= r.aims[q.class]:
+		c.InTime++
+	default:
+		c.Late++
+	}
+}
+
+// finish sums up.
+func (r *Result) finish(w *world) {
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		r.Asked += c.Asked
+		r.Worth += c.Worth
+		r.Earned += c.Earned
+	}
+	r.Share = r.Earned / max(r.Worth, 1e-9)
+	at := func(q float64) float64 { return float64(r.spread.ValueAtQuantile(q)) / 1000 }
+	if r.spread.TotalCount() > 0 {
+		r.P50, r.P95, r.P99 = at(50), at(95), at(99)
+	}
+	r.Attempts, r.Connections, r.Lists, r.Backstops, r.LevelChanges = r.attempts, r.connections, r.lists, r.backstops, r.levelChanges
+	r.PerRequest = float64(r.attempts) / math.Max(float64(w.taken), 1)
+	for _, b := range w.checker.Breaks {
+		b.At -= epoch
+		r.Breaks = append(r.Breaks, b.String())
+	}
+	r.BreakCount, r.Margins = w.checker.Count, w.checker.Margins
+	r.area(w.now(), 0)
+	if span := w.now() - epoch; span > 0 {
+		r.Little.Inside, r.Little.RateBy = r.Little.area/span, r.waited/span
+	}
+	r.Events, r.Hash = w.clock.done, fmt.Sprintf("%016x", w.hash.Sum64())
+}
+
+// Run plays a scenario from one seed. The same scenario and seed give the same result, whatever the machine.
+func Run(sc *Scenario, seed uint64) (*Result, error) {
+	w := newWorld(sc, seed)
+	w.play()
+	if w.err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrScenario, w.err)
+	}
+	return w.result, nil
+}
--- /dev/null
+++ b/internal/emulate/world_test.go
@@ -0,0 +1,371 @@
+package emulate
+
+import (
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+
+	"whinknot"
+)
+
+// kept are the scenarios that the repository keeps.
+func kept(t *testing.T) []string {
+	t.Helper()
+	paths, err := filepath.Glob("../../deploy/scenarios/*.toml")
+	if err != nil || len(paths) < 7 {
+		t.Fatal(paths, err)
+	}
+	return paths
+}
+
+func load(t *testing.T, path string, overrides ...string) *Scenario {
+	t.Helper()
+	sc, err := Load(path, overrides...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sc
+}
+
+func play(t *testing.T, sc *Scenario, seed uint64) *Result {
+	t.Helper()
+	r, err := Run(sc, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Every kept scenario keeps the rules, counts each request once and obeys Little's law.
+func TestScenariosKeepTheRules(t *testing.T) {
+	for _, path := range kept(t) {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			t.Parallel()
+			r := play(t, load(t, path, "for=22s", "demand.rate=1000"), 1)
+			if r.BreakCount > 0 || r.Falls > 0 {
+				t.Errorf("%d cold servers fell, breaks: %v", r.Falls, r.Breaks)
+			}
+			sum := 0
+			for _, c := range r.Classes {
+				sum += c.InTime + c.Late + c.Refused + c.Failed + c.GaveUp
+			}
+			if r.Asked == 0 || sum != r.Asked {
+				t.Errorf("%d requests, of %d it is told how they ended", r.Asked, sum)
+			}
+			if off := r.Little.Inside/r.Little.RateBy - 1; off > 1e-9 || off < -1e-9 {
+				t.Errorf("Little's law: %v inside, %v by rate and time", r.Little.Inside, r.Little.RateBy)
+			}
+			if r.Share < 0.7 {
+				t.Errorf("share %.3f", r.Share)
+			}
+		})
+	}
+}
+
+// The same scenario and seed give the same facts, however many processors there are and whatever else runs; another seed others.
+func TestSameSeedSameFacts(t *testing.T) {
+	for _, path := range kept(t) {
+		sc := load(t, path, "for=11s", "warmup=1s", "demand.rate=600")
+		before := runtime.GOMAXPROCS(1)
+		one := play(t, sc, 7)
+		runtime.GOMAXPROCS(before)
+		again := make(chan *Result)
+		for range 2 {
+			go func() {
+				r, _ := Run(sc, 7)
+				again <- r
+			}()
+		}
+		for range 2 {
+			if r := <-again; r.Hash != one.Hash || r.Events != one.Events || r.Share != one.Share {
+				t.Errorf("%s: %s, %d events and share %v, then %s, %d and %v", sc.Name, one.Hash, one.Events, one.Share, r.Hash, r.Events, r.Share)
+			}
+		}
+		if other := play(t, sc, 8); other.Hash == one.Hash {
+			t.Errorf("%s: two seeds, one run", sc.Name)
+		}
+	}
+}
+
+// Two variants see the same requests with the same work, however differently they decide.
+func TestVariantsSeeTheSameRequests(t *testing.T) {
+	type seen struct {
+		at   float64
+		work float64
+	}
+	requests := func(overrides ...string) map[uint64]seen {
+		sc := load(t, "../../deploy/scenarios/slow.toml", append(overrides, "for=11s", "demand.rate=1000")...)
+		w := newWorld(sc, 3)
+		out := map[uint64]seen{}
+		w.wrap = func(h *host, d decider) decider {
+			return wrapped{d, func(ev *whinknot.Event) {
+				if c := h.calls[ev.Request]; ev.Kind == whinknot.EvRequest && c.asked.try == 1 {
+					out[c.asked.number] = seen{c.asked.at, c.asked.work}
+				}
+			}, nil}
+		}
+		w.play()
+		return out
+	}
+	a, b := requests(), requests("copies.count=7", "pool.attempts=1", "servers.queue=3")
+	if len(a) < 9_000 || len(a) != len(b) {
+		t.Fatalf("%d and %d requests", len(a), len(b))
+	}
+	for n, one := range a {
+		if b[n] != one {
+			t.Fatalf("request %d: %v and %v", n, one, b[n])
+		}
+	}
+}
+
+// wrapped is a module that hears, or does, something else.
+type wrapped struct {
+	decider
+	hears func(*whinknot.Event)
+	does  func(ev *whinknot.Event, actions []whinknot.Action) []whinknot.Action
+}
+
+func (m wrapped) Handle(now float64, ev *whinknot.Event, actions []whinknot.Action) []whinknot.Action {
+	if m.hears != nil {
+		m.hears(ev)
+	}
+	actions = m.decider.Handle(now, ev, actions)
+	if m.does != nil {
+		actions = m.does(ev, actions)
+	}
+	return actions
+}
+
+// A module that breaks a rule is found out, whichever rule it is.
+func TestPlantedBreaksAreFound(t *testing.T) {
+	send := func(q, server uint32, until float64) whinknot.Action {
+		return whinknot.Action{Kind: whinknot.ActSend, Request: q, Server: server, Until: until}
+	}
+	for _, c := range []struct {
+		name     string
+		scenario string
+		rule     int
+		says     string
+		does     func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action
+	}{
+		{"two at once", "calm", 4, "beside one that is out", func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action {
+			return func(_ *whinknot.Event, list []whinknot.Action) []whinknot.Action {
+				for _, a := range list {
+					if a.Kind == whinknot.ActSend && a.Request%50 == 0 {
+						return append(list, send(a.Request, 1+a.Server%12, a.Until))
+					}
+				}
+				return list
+			}
+		}},
+		{"an unsafe one again", "short", 4, "unsafe request", func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action {
+			return func(ev *whinknot.Event, list []whinknot.Action) []whinknot.Action {
+				c := h.calls[ev.Request]
+				if ev.Kind == whinknot.EvRequest && c.asked.class == 1 { // its answer would be late: called off, and again
+					return append(list, whinknot.Action{Kind: whinknot.ActCancel, Request: ev.Request})
+				}
+				if ev.Kind == whinknot.EvOutcome && ev.Outcome == whinknot.Cancelled && c != nil {
+					return []whinknot.Action{send(ev.Request, 1, h.w.now()+500)}
+				}
+				return list
+			}
+		}},
+		{"refused though it may run", "calm", 4, "may have run", func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action {
+			return func(_ *whinknot.Event, list []whinknot.Action) []whinknot.Action {
+				for _, a := range list {
+					if c := h.calls[a.Request]; a.Kind == whinknot.ActSend && c != nil && c.asked.class == 1 {
+						return append(list, whinknot.Action{Kind: whinknot.ActRefuse, Request: a.Request})
+					}
+				}
+				return list
+			}
+		}},
+		{"after the answer", "calm", 1, "after the final answer", func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action {
+			return func(_ *whinknot.Event, list []whinknot.Action) []whinknot.Action {
+				for _, a := range list {
+					if c := h.calls[a.Request]; a.Kind == whinknot.ActSend && c != nil && c.asked.class == 0 {
+						return append(list, whinknot.Action{Kind: whinknot.ActFail, Request: a.Request}, send(a.Request, a.Server, a.Until))
+					}
+				}
+				return list
+			}
+		}},
+		{"to one that drains", "replace", 2, "takes nothing new", func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action {
+			left := uint32(0)
+			return func(ev *whinknot.Event, list []whinknot.Action) []whinknot.Action {
+				for _, e := range ev.Servers {
+					if e.State == whinknot.Draining {
+						left = e.Server
+					}
+				}
+				for i := range list {
+					if list[i].Kind == whinknot.ActSend && left != 0 {
+						list[i].Server = left
+					}
+				}
+				return list
+			}
+		}},
+		{"all to a cold one", "replace", 3, "the cold server", func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action {
+			cold := uint32(0)
+			return func(ev *whinknot.Event, list []whinknot.Action) []whinknot.Action {
+				for _, e := range ev.Servers {
+					if e.Started > 0 && cold == 0 {
+						cold = e.Server
+					}
+				}
+				for i := range list {
+					if list[i].Kind == whinknot.ActSend && cold != 0 {
+						list[i].Server = cold
+					}
+				}
+				return list
+			}
+		}},
+		{"too many", "calm", 4, "attempt 4 of 3", func(h *host) func(*whinknot.Event, []whinknot.Action) []whinknot.Action {
+			return func(ev *whinknot.Event, list []whinknot.Action) []whinknot.Action {
+				c := h.calls[ev.Request]
+				if c == nil || c.asked.class != 0 || c.ended || len(c.attempts) > 4 {
+					return list
+				}
+				called := whinknot.Action{Kind: whinknot.ActCancel, Request: ev.Request, Attempt: uint16(len(c.attempts))}
+				if ev.Kind == whinknot.EvOutcome {
+					return []whinknot.Action{send(ev.Request, 1, h.w.now()+500), called}
+				}
+				return append(list, called)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(load(t, "../../deploy/scenarios/"+c.scenario+".toml", "for=20s"), 5)
+			w.wrap = func(h *host, d decider) decider { return wrapped{d, nil, c.does(h)} }
+			w.play()
+			found := false
+			for _, b := range w.checker.Breaks {
+				found = found || b.Rule == c.rule && strings.Contains(b.Text, c.says)
+			}
+			if !found {
+				t.Errorf("%d breaks, none of rule %d that says %q: %v", w.checker.Count, c.rule, c.says, w.result.Breaks[:min(3, len(w.result.Breaks))])
+			}
+			if len(w.result.Breaks) > 0 && !strings.Contains(w.result.Breaks[0], "request ") {
+				t.Errorf("%q names no request", w.result.Breaks[0])
+			}
+		})
+	}
+}
+
+// A module that never asks to be woken leaves calls unanswered: the host answers them in time, and no rule breaks.
+func TestModuleThatIsNeverWoken(t *testing.T) {
+	w := newWorld(load(t, "../../deploy/scenarios/calm.toml", "for=12s", "demand.rate=2500"), 5)
+	w.wrap = func(h *host, d decider) decider {
+		return wrapped{d, nil, func(_ *whinknot.Event, list []whinknot.Action) (kept []whinknot.Action) {
+			for _, a := range list {
+				if a.Kind != whinknot.ActTimer && a.Kind != whinknot.ActRefuse && a.Kind != whinknot.ActFail {
+					kept = append(kept, a)
+				}
+			}
+			return kept
+		}}
+	}
+	w.play()
+	if w.result.Backstops == 0 || w.result.BreakCount > 0 {
+		t.Errorf("%d answered by the hosts, breaks: %v", w.result.Backstops, w.result.Breaks)
+	}
+	if w.pending != 0 {
+		t.Errorf("%d requests have no end", w.pending)
+	}
+}
+
+// A server that starts anew while it is still cold begins its ramp again, and copies take it so.
+func TestColdRampTwice(t *testing.T) {
+	sc := load(t, "../../deploy/scenarios/calm.toml", "for=14s", "servers.ramp=6s", "pool.ramp=6s", "discovery.detect=100ms",
+		`fault=[{kind="crash", at="2s", for="1s", count=4}, {kind="crash", at="5s", for="1s", share=1.0}]`)
+	w := newWorld(sc, 2)
+	var at []float64
+	w.clock.at(epoch+5900, func() {
+		for _, s := range w.servers {
+			if s.state != away {
+				t.Errorf("server %d is not away", s.id)
+			}
+		}
+	})
+	for _, ms := range []float64{4500, 6100} {
+		w.clock.at(epoch+ms, func() {
+			cold := 0
+			for _, s := range w.servers {
+				if s.cold() {
+					cold++
+					at = append(at, s.warmth())
+				}
+			}
+			if want := map[float64]int{4500: 4, 6100: 12}[ms]; cold != want {
+				t.Errorf("%v ms: %d servers are cold, want %d", ms, cold, want)
+			}
+		})
+	}
+	w.play()
+	if len(at) != 16 || at[0] < 0.4 || at[15] > 0.35 {
+		t.Errorf("warmths %v", at)
+	}
+	if w.result.BreakCount > 0 {
+		t.Error(w.result.Breaks)
+	}
+}
+
+// With subsets, servers that cannot be dealt out evenly to zones are all sent to.
+func TestSubsetsReachAllServers(t *testing.T) {
+	sc := load(t, "../../deploy/scenarios/calm.toml", "for=12s", "servers.count=31", "copies.count=20", "pool.subset=5", "demand.rate=600")
+	w := newWorld(sc, 1)
+	known := map[uint32]int{}
+	w.wrap = func(h *host, d decider) decider {
+		return wrapped{d, func(ev *whinknot.Event) {
+			for _, e := range ev.Servers {
+				known[e.Server]++
+			}
+		}, nil}
+	}
+	w.play()
+	if len(known) != 31 || w.result.Share < 0.95 {
+		t.Errorf("%d of 31 servers are known, share %v", len(known), w.result.Share)
+	}
+	for _, h := range w.hosts {
+		if len(h.known) >= 31 || len(h.known) < 5 {
+			t.Errorf("copy %d knows %d servers", h.rank, len(h.known))
+		}
+	}
+	if w.result.BreakCount > 0 {
+		t.Error(w.result.Breaks)
+	}
+}
+
+// Levels, holds, stalls, cuts and late lists: the rest of what a scenario can ask for keeps the rules too.
+func TestOtherFaultsKeepTheRules(t *testing.T) {
+	for i, fault := range []string{
+		`{kind="silent", at="5s", for="3s", share=0.25}`,
+		`{kind="cut", at="5s", for="3s", zone="a"}`,
+		`{kind="stall", at="5s", for="300ms", share=0.5}`,
+		`{kind="list-late", at="4s", for="5s", share=0.5}, {kind="replace", at="4500ms", for="1s", share=0.3, drain="1s"}`,
+		`{kind="hold", at="5s", for="4s", count=3}`,
+		`{kind="crash", at="5s", for="2s", zone="b"}`,
+		`{kind="zone", at="5s", for="2s", zone="a"}, {kind="zone", at="6s", for="2s", zone="a"}, {kind="replace", at="5500ms", for="2s", share=1.0, drain="500ms"}`,
+		`{kind="restart", at="5s", for="2s", share=1.0, steps=5, down="200ms"}, {kind="restart", at="6s", for="1s", share=1.0, steps=3, kill=true, down="10ms"}`,
+	} {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			sc := load(t, "../../deploy/scenarios/calm.toml", "for=14s", "fault=["+fault+"]",
+				`pool.level=[{name="lean", enter=[{signal="wait", over=0.05}], shed=[{class="browse"}]}]`, "callers.0.leave=0.02")
+			for seed := range uint64(2) {
+				r := play(t, sc, seed)
+				if r.BreakCount > 0 {
+					t.Errorf("seed %d: %v", seed, r.Breaks[:min(len(r.Breaks), 3)])
+				}
+				if r.Earned == 0 {
+					t.Error("nothing was served")
+				}
+			}
+		})
+	}
+}
--- a/internal/operator/bind.go
+++ b/internal/operator/bind.go
@@ -19,8 +19,8 @@
 
 // table fills a struct. Defaults are set before, so that a key that is absent leaves them.
 func (b *binder) table(path string, from map[string]any, to reflect.Value) {
-	if d, ok := to.Addr().Interface().(defaulter); ok {
-		d.setDefaults()
+	if d, ok := to.Addr().Interface().(Defaulter); ok {
+		d.SetDefaults()
 	}
 	fields := map[string]int{}
 	var names []string
@@ -39,7 +39,7 @@
 	}
 	if to.Type() == reflect.TypeFor[File]() {
 		if _, ok := from["limits"]; !ok {
-			to.Addr().Interface().(*File).Limits.setDefaults()
+			to.Addr().Interface().(*File).Limits.SetDefaults()
 		}
 	}
 }
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -231,6 +231,12 @@
 }
 
 func (c *checker) pool(path string, p *Pool) {
+	c.rules(path, p)
+	c.source(path, p)
+}
+
+// rules checks what a pool says of its requests and its servers as a whole.
+func (c *checker) rules(path string, p *Pool) {
 	if p.Attempts < 1 || p.Attempts > maxAttempts {
 		c.complainf(path+".attempts", "%d is not within 1 and %d", p.Attempts, maxAttempts)
 	}
@@ -300,7 +306,6 @@
 			c.complainf(at+".quota", "%v is negative", t.Quota)
 		}
 	}
-	c.source(path, p)
 	c.levels(path, p)
 }
 
--- a/internal/operator/levels.go
+++ b/internal/operator/levels.go
@@ -47,13 +47,13 @@
 	RetryAfter Duration `toml:"retry_after"` // 0 for what refusals say
 }
 
-func (l *Level) setDefaults() {
+func (l *Level) SetDefaults() {
 	*l = Level{
 		For: Duration(300 * time.Millisecond), Calm: Duration(time.Second), Band: 0.3, Least: Duration(5 * time.Second),
 		Off: Duration(5 * time.Second), Ramp: Duration(3 * time.Second),
 	}
 }
-func (s *LevelShed) setDefaults() { *s = LevelShed{Share: 1} }
+func (s *LevelShed) SetDefaults() { *s = LevelShed{Share: 1} }
 
 // Ladder is the pool's levels for package level. The file has been checked.
 func (p *Pool) Ladder() level.Ladder {
--- a/internal/operator/load.go
+++ b/internal/operator/load.go
@@ -175,13 +175,28 @@
 	if err != nil {
 		return err
 	}
-	d := &document{name: path}
+	return DecodeText(path, text, to, nil, check)
+}
+
+// DecodeText does so with a text that was read. Edit may change its tree before it is bound to the struct; it may be nil.
+func DecodeText(name string, text []byte, to any, edit func(tree map[string]any) error, check func(complain func(field, text string))) error {
+	d := &document{name: name, edit: edit}
 	if d.decode(text, to) && check != nil {
 		check(func(field, text string) { d.complain(field, errors.New(text)) })
 	}
 	return d.err()
 }
 
+// CheckRules checks a pool of another kind of file, which tells servers in its own way: all but its servers and their source.
+func (p *Pool) CheckRules(path string, complain func(field, text string)) {
+	d := &document{lines: &positions{}}
+	c := checker{document: d, cfg: &Config{}}
+	c.rules(path, p)
+	for _, e := range d.errs {
+		complain(e.Field, e.Err.Error())
+	}
+}
+
 // Under makes a path relative to a folder one of its own; an empty one stays empty.
 func Under(dir string, path *string) {
 	if *path != "" && !filepath.IsAbs(*path) {
@@ -192,6 +207,7 @@
 // document collects what is wrong in one file.
 type document struct {
 	name  string
+	edit  func(tree map[string]any) error // before it is bound; nil for nothing
 	lines *positions
 	errs  Errors
 }
@@ -209,6 +225,12 @@
 		return false
 	}
 	d.lines = locate(text)
+	if d.edit != nil {
+		if err := d.edit(tree); err != nil {
+			d.errs = append(d.errs, &Error{File: d.name, Line: 1, Err: err})
+			return false
+		}
+	}
 	b := binder{complain: d.complain}
 	b.table("", tree, reflect.ValueOf(to).Elem())
 	return true
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -24,7 +24,8 @@
 
 func (d Duration) String() string { return time.Duration(d).String() }
 
-func (d Duration) ms() float64 { return float64(time.Duration(d).Microseconds()) / 1000 }
+// MS is the time in milliseconds.
+func (d Duration) MS() float64 { return float64(time.Duration(d).Microseconds()) / 1000 }
 
 // Size is a number of bytes: "64KiB", "8MiB", "512".
 type Size int64
@@ -236,26 +237,27 @@
 }
 
 // The defaults of what a file leaves out.
-func (l *Limits) setDefaults() {
+func (l *Limits) SetDefaults() {
 	*l = Limits{Memory: 128 << 20, Sockets: 1024, Cores: 1, Drain: Duration(5 * time.Second)}
 }
-func (l *Listener) setDefaults() {
+func (l *Listener) SetDefaults() {
 	*l = Listener{Front: HTTP, MaxBody: 8 << 20, Streams: 100, MaxWorth: 100}
 }
-func (c *Context) setDefaults() { *c = Context{Retries: 2} }
-func (s *Share) setDefaults()   { *s = Share{Least: 16, Weight: 1} }
-func (c *Class) setDefaults()   { *c = Class{Worth: 1} }
-func (s *Source) setDefaults()  { *s = Source{Type: "static", Every: Duration(250 * time.Millisecond)} }
-func (s *Server) setDefaults()  { *s = Server{State: "ready", Weight: 1} }
-func (p *Pool) setDefaults() {
+func (c *Context) SetDefaults() { *c = Context{Retries: 2} }
+func (s *Share) SetDefaults()   { *s = Share{Least: 16, Weight: 1} }
+func (c *Class) SetDefaults()   { *c = Class{Worth: 1} }
+func (s *Source) SetDefaults()  { *s = Source{Type: "static", Every: Duration(250 * time.Millisecond)} }
+func (s *Server) SetDefaults()  { *s = Server{State: "ready", Weight: 1} }
+func (p *Pool) SetDefaults() {
 	*p = Pool{
 		Protocol: HTTP, Streams: 100, PingAfter: Duration(6 * time.Minute), // servers of grpc-go cut those that ask more often
 		Attempts: 3, ConnectTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second),
 		StreamTime: Duration(time.Minute), StreamIdle: Duration(10 * time.Second), DrainGrace: Duration(500 * time.Millisecond),
 		ColdFrom: 0.3, Ramp: Duration(8 * time.Second), Copies: 1, LevelWindow: Duration(time.Second), SubsetSpare: 1,
 	}
-	p.Connections.setDefaults()
-	p.Source.setDefaults()
+	p.Connections.SetDefaults()
+	p.Source.SetDefaults()
 }
 
-type defaulter interface{ setDefaults() }
+// Defaulter is a table of a file that has other defaults than zeros for what the file leaves out.
+type Defaulter interface{ SetDefaults() }
--- a/internal/operator/settings.go
+++ b/internal/operator/settings.go
@@ -24,12 +24,12 @@
 		Copies: p.Copies, Rank: p.Rank, Zone: max(slices.Index(p.Zones, p.Zone), 0), OverShareWorth: 1,
 		Limits: whinknot.Limits{
 			MaxAttempts: p.Attempts, Cancel: true, RetryAfter: true, MaxRetryAfter: maxRetryAfter,
-			ConnectTimeout: p.ConnectTimeout.ms(), ConnIdle: p.IdleTimeout.ms(), RefuseEmpty: true, Streams: 1,
+			ConnectTimeout: p.ConnectTimeout.MS(), ConnIdle: p.IdleTimeout.MS(), RefuseEmpty: true, Streams: 1,
 		},
 		Safety: whinknot.Safety{
-			AnswerSlack: answerSlack, DrainGrace: p.DrainGrace.ms(), ColdFrom: p.ColdFrom, Ramp: p.Ramp.ms(),
+			AnswerSlack: answerSlack, DrainGrace: p.DrainGrace.MS(), ColdFrom: p.ColdFrom, Ramp: p.Ramp.MS(),
 			FallMultiple: fallMultiple, FallAfter: fallAfter, AskEvery: askEvery,
-			BudgetFree: float64(p.RetryFree), BudgetShare: p.RetryShare, BudgetWindow: p.RetryWindow.ms(),
+			BudgetFree: float64(p.RetryFree), BudgetShare: p.RetryShare, BudgetWindow: p.RetryWindow.MS(),
 		},
 	}
 	if p.Protocol == GRPC {
@@ -37,8 +37,8 @@
 	}
 	for _, c := range p.Classes {
 		set.Classes = append(set.Classes, whinknot.Class{
-			Name: c.Name, Worth: c.Worth, LateWorth: c.Late, Aim: c.Aim.ms(), GiveUp: c.GiveUp.ms(),
-			Effect: effects[c.Effect], Group: groups[c.Group], Window: c.Window.ms(), Stream: c.Stream,
+			Name: c.Name, Worth: c.Worth, LateWorth: c.Late, Aim: c.Aim.MS(), GiveUp: c.GiveUp.MS(),
+			Effect: effects[c.Effect], Group: groups[c.Group], Window: c.Window.MS(), Stream: c.Stream,
 		})
 	}
 	for _, t := range p.Tenants {
