Play, compare and plot scenarios from the command line: milletmast emulate

Need: operators and developers ask whether a setting or a build serves better, and a mean over a few seeds does not tell.

--- /dev/null
+++ b/cmd/milletemu/main.go
@@ -0,0 +1,43 @@
+// Command milletemu plays fleets of sidecars in virtual time, and plans them. milletmast emulate and milletmast plan run it, as what
+// draws and reckons is too large for the sidecar's own program.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"whinknot/internal/operator"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "milletemu:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "milletemu",
+		Short: "Play a fleet of sidecars over servers and callers in virtual time",
+		Long: `Plays scenarios (examples: deploy/scenarios): many sidecars, each with the real decision module, over models of servers,
+network, discovery and callers, with one virtual clock and one seed a run. The same scenario and seed give the same result on
+any machine. docs/operate/emulate.md explains scenarios and figures. Exits 1 where a rule was broken or something is wrong.`,
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(runCommand(), compareCommand(), plotCommand())
+	return root
+}
+
+// tellErrors puts all that is wrong in a file on standard error, and gives an error that counts them.
+func tellErrors(cmd *cobra.Command, path string, err error) error {
+	var all operator.Errors
+	if errors.As(err, &all) {
+		fmt.Fprintln(cmd.ErrOrStderr(), all)
+		return fmt.Errorf("%s: errors: %d", path, len(all))
+	}
+	return err
+}
--- a/cmd/milletmast/command.go
+++ b/cmd/milletmast/command.go
@@ -31,7 +31,8 @@
 			return errors.New("RELAY_CONFIG is not set and no subcommand is given: see milletmast --help")
 		},
 	}
-	root.AddCommand(serveCommand(), checkCommand(), routeCommand(), diffCommand(), importCommand(), traceCommand(), levelCommand(), demoCommand())
+	root.AddCommand(serveCommand(), checkCommand(), routeCommand(), diffCommand(), importCommand(), traceCommand(), levelCommand(), demoCommand(),
+		besideCommand("emulate", "Play a fleet of sidecars over servers and callers in virtual time: run, compare, plot"))
 	return root
 }
 
@@ -63,12 +64,17 @@
 // loadFile reads an operator file; what is wrong in it goes to standard error, a line each.
 func loadFile(cmd *cobra.Command, path string) (*operator.Config, error) {
 	cfg, err := operator.Load(path)
+	return cfg, tellErrors(cmd, path, err)
+}
+
+// tellErrors puts all that is wrong in a file on standard error, and gives an error that counts them.
+func tellErrors(cmd *cobra.Command, path string, err error) error {
 	var all operator.Errors
 	if errors.As(err, &all) {
 		fmt.Fprintln(cmd.ErrOrStderr(), all)
-		return nil, fmt.Errorf("%s: errors: %d", path, len(all))
+		return fmt.Errorf("%s: errors: %d", path, len(all))
 	}
-	return cfg, err
+	return err
 }
 
 func routeCommand() *cobra.Command {
--- a/internal/emulate/result.go
+++ b/internal/emulate/result.go
@@ -1,6 +1,7 @@
 package emulate
 
 import (
+	"context"
 	"fmt"
 	"math"
 
@@ -198,9 +199,16 @@
 }
 
 // Run plays a scenario from one seed. The same scenario and seed give the same result, whatever the machine.
-func Run(sc *Scenario, seed uint64) (*Result, error) {
+func Run(sc *Scenario, seed uint64) (*Result, error) { return RunUntil(context.Background(), sc, seed) }
+
+// RunUntil does so unless ctx ends before.
+func RunUntil(ctx context.Context, sc *Scenario, seed uint64) (*Result, error) {
 	w := newWorld(sc, seed)
+	w.stopped = func() bool { return ctx.Err() != nil }
 	w.play()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	if w.err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrScenario, w.err)
 	}
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -21,6 +21,7 @@
 	epoch     = 1e6     // ms: the time at the start, as the module takes 0 for long ago
 	mostAfter = 120_000 // ms after the end of demand at which a run ends, whatever is still open
 	toldShare = 2. / 3  // of the work that pushes a cold server over, from copies that knew of its start
+	stopEvery = 1 << 14 // happenings between two looks at whether to stop
 	slack     = 20.0    // ms for a final answer after its client's time
 )
 
@@ -40,6 +41,7 @@
 	checker *rules.Checker
 	hash    *xxhash.Digest
 	wrap    func(*host, decider) decider // of a test that has modules misbehave; nil for none
+	stopped func() bool                  // whoever plays it wants no more of it; nil for never
 
 	asks    uint64 // requests of callers
 	taken   uint64 // tries that reached a copy
@@ -472,10 +474,16 @@
 		r := w.random.of(fmt.Sprint("fault ", i))
 		w.clock.at(epoch+f.At.MS(), func() { w.befall(f, r) })
 	}
+	if w.err != nil {
+		return
+	}
 	w.arrivals()
 	end := epoch + w.sc.For.MS()
 	for w.err == nil && w.clock.next() <= end+mostAfter && (w.pending > 0 || w.clock.next() <= end) {
 		w.clock.step()
+		if w.clock.done%stopEvery == 0 && w.stopped != nil && w.stopped() {
+			return
+		}
 	}
 	w.fact(&rules.Fact{Kind: rules.Ended})
 	w.result.finish(w)
