Plan servers, copies, subset and queue over the emulator, with a bound beside the answer

Need: operators ask before they buy or take away how many servers and copies a demand takes, also while a zone is lost.

--- a/cmd/milletemu/main.go
+++ b/cmd/milletemu/main.go
@@ -28,7 +28,7 @@
 any machine. docs/operate/emulate.md explains scenarios and figures. Exits 1 where a rule was broken or something is wrong.`,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), compareCommand(), plotCommand())
+	root.AddCommand(runCommand(), compareCommand(), plotCommand(), planCommand())
 	return root
 }
 
--- a/cmd/milletmast/command.go
+++ b/cmd/milletmast/command.go
@@ -32,7 +32,8 @@
 		},
 	}
 	root.AddCommand(serveCommand(), checkCommand(), routeCommand(), diffCommand(), importCommand(), traceCommand(), levelCommand(), demoCommand(),
-		besideCommand("emulate", "Play a fleet of sidecars over servers and callers in virtual time: run, compare, plot"))
+		besideCommand("emulate", "Play a fleet of sidecars over servers and callers in virtual time: run, compare, plot"),
+		besideCommand("plan", "Find the fewest servers and copies that hold a target, also through stated losses", "plan"))
 	return root
 }
 
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -288,16 +288,8 @@
 
 // check tells what a scenario cannot mean.
 func (s *Scenario) check(complain func(field, text string)) {
-	within := func(field string, v, least, most float64) {
-		if !(v >= least && v <= most) {
-			complain(field, fmt.Sprintf("%v is not within %v and %v", v, least, most))
-		}
-	}
-	timed := func(field string, v Duration, least, most time.Duration) {
-		if time.Duration(v) < least || time.Duration(v) > most {
-			complain(field, fmt.Sprintf("%v is an impossible time: from %v to %v is possible", v, least, most))
-		}
-	}
+	k := ranges{complain}
+	within, timed := k.within, k.timed
 	timed("for", s.For, 100*time.Millisecond, 24*time.Hour)
 	if s.Warmup >= s.For {
 		complain("warmup", fmt.Sprintf("%v leaves nothing of the %v that is played", s.Warmup, s.For))
@@ -347,18 +339,40 @@
 	timed("discovery.lag", s.Discovery.Lag, 0, time.Minute)
 	timed("discovery.jitter", s.Discovery.Jitter, 0, time.Minute)
 	timed("discovery.detect", s.Discovery.Detect, 0, time.Hour)
-	s.checkLoad(complain, within, timed)
+	s.checkLoad(k)
+	s.CheckFaults(complain)
+}
+
+// CheckFaults checks what befalls the fleet.
+func (s *Scenario) CheckFaults(complain func(field, text string)) {
 	if len(s.Faults) > maxFaults {
 		complain("fault", fmt.Sprintf("%d of them, over the %d allowed", len(s.Faults), maxFaults))
 		return
 	}
+	k := ranges{complain}
 	for i := range s.Faults {
-		s.checkFault(fmt.Sprintf("fault[%d]", i), &s.Faults[i], complain, within, timed)
+		s.checkFault(fmt.Sprintf("fault[%d]", i), &s.Faults[i], k)
+	}
+}
+
+// ranges complains of figures outside theirs.
+type ranges struct{ complain func(field, text string) }
+
+func (k ranges) within(field string, v, least, most float64) {
+	if !(v >= least && v <= most) {
+		k.complain(field, fmt.Sprintf("%v is not within %v and %v", v, least, most))
+	}
+}
+
+func (k ranges) timed(field string, v Duration, least, most time.Duration) {
+	if time.Duration(v) < least || time.Duration(v) > most {
+		k.complain(field, fmt.Sprintf("%v is an impossible time: from %v to %v is possible", v, least, most))
 	}
 }
 
 // checkLoad checks what is asked of the fleet.
-func (s *Scenario) checkLoad(complain func(field, text string), within func(string, float64, float64, float64), timed func(string, Duration, time.Duration, time.Duration)) {
+func (s *Scenario) checkLoad(k ranges) {
+	complain, within, timed := k.complain, k.within, k.timed
 	within("demand.rate", s.Demand.Rate, 0.001, 1e7)
 	within("demand.callers", float64(s.Demand.Callers), 1, 1e7)
 	top, last := 1.0, Duration(-1)
@@ -420,7 +434,8 @@
 }
 
 // checkFault checks one fault.
-func (s *Scenario) checkFault(field string, f *Fault, complain func(field, text string), within func(string, float64, float64, float64), timed func(string, Duration, time.Duration, time.Duration)) {
+func (s *Scenario) checkFault(field string, f *Fault, k ranges) {
+	complain, within, timed := k.complain, k.within, k.timed
 	if !slices.Contains(faults, f.Kind) {
 		complain(field+".kind", fmt.Sprintf("%q is unknown: there are %s", f.Kind, strings.Join(faults, ", ")))
 		return
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -297,7 +297,7 @@
 				w.pending--
 				return
 			}
-			if accept*top >= d.times(at-epoch) {
+			if accept*top >= d.Times(at-epoch) {
 				continue
 			}
 			w.asks++
@@ -315,8 +315,8 @@
 	next()
 }
 
-// times is the rate curve at a time in ms.
-func (d *Demand) times(at float64) float64 {
+// Times is the rate curve at a time in ms from the start.
+func (d *Demand) Times(at float64) float64 {
 	if len(d.Curve) == 0 {
 		return 1
 	}
