Measure the emulator against loopback trials and at 10 to 1,000 copies

Need: what the emulator says is believed only as far as sockets bear it out, and its size has to be known.

Change: measure emulate plays the shop's trials on sockets and in the emulator, at four loads; measure emulate-size plays the mass replacement at 10, 100 and 1,000 copies and, with -large, 1,000 copies over 10,000 servers with subsets of 20.

--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -9,6 +9,8 @@
 //	go run ./internal/measure import -program NEW
 //	go run ./internal/measure tiers
 //	go run ./internal/measure levels -for 10m -seeds 10 -svg FILE
+//	go run ./internal/measure emulate
+//	go run ./internal/measure emulate-size -large
 package main
 
 import (
@@ -47,10 +49,15 @@
 
 func run(args []string) error {
 	if len(args) == 0 {
-		return errors.New("needs a subcommand: platform, operator, grpc, import, tiers or levels")
+		return errors.New("needs a subcommand: platform, operator, grpc, import, tiers, levels, emulate or emulate-size")
 	}
-	if args[0] == "levels" {
+	switch args[0] {
+	case "levels":
 		return levels(args[1:], os.Stdout)
+	case "emulate":
+		return emulated(args[1:], os.Stdout)
+	case "emulate-size":
+		return emulatedSizes(args[1:], os.Stdout)
 	}
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	requests := flags.Int("requests", 40_000, "of each program in a round")
