Give a cold server a part of what servers are sent, not of what is asked for

Ruled out: the copies that restart with the zone (25 a second, also where servers stay), connections (387 opened in 40 s), the list.

Change: evenShare is what the servers that serve are sent, cold ones counted by their least; with none warm it is the demand as before, or nothing would come to be sent.

--- a/balancer.go
+++ b/balancer.go
@@ -185,6 +185,7 @@
 	room            float64   // most calls out at once; 0 = not bounded yet
 	firstRoom       float64   // its start: all copies together must not overrun a tier that none has measured
 	serving         float64   // servers that room is for: ready and not cut, a cold one in part
+	warm            bool      // one of them is warm
 	roomAt          float64   // next revision of room
 	typical, calm   float64   // mean ratio of answers, and its least: together they tell of waiting
 	calmFrom        float64
@@ -892,14 +893,24 @@
 	if s.cold {
 		age := b.now - s.Started
 		if age < b.set.Safety.Ramp {
-			from, share := b.set.Safety.ColdFrom, b.arrivals.rate()/float64(max(len(b.live), 1))
+			from, share := b.set.Safety.ColdFrom, b.evenShare()
 			return min(load, coldPart*share*(from+(1-from)*max(age, 0)/b.set.Safety.Ramp))
 		}
 		s.cold = false
+		b.warm = b.warm || !s.cut && b.serving > 0
 	}
 	return load
 }
 
+// evenShare is what a server that serves is sent, cold ones counted by their least; with none warm the demand
+// on each. Demand counts what is refused too: in an overload its part fills a cold server to the brim.
+func (b *Balancer) evenShare() float64 {
+	if !b.warm {
+		return b.arrivals.rate() / float64(max(len(b.live), 1))
+	}
+	return b.sends.rate() / b.serving
+}
+
 // usualLoad is the mean of those measured; before any is, what demand asks of each.
 func (b *Balancer) usualLoad() float64 {
 	if b.measured == 0 {
@@ -1017,6 +1028,7 @@
 // their share jams the rest till the next revision.
 func (b *Balancer) recount() {
 	sum, n, cuts, serving := 0.0, 0, 0, 0.0
+	b.warm = false
 	for _, s := range b.live {
 		if s.cut {
 			cuts++
@@ -1028,6 +1040,7 @@
 			serving += b.set.Safety.ColdFrom
 		} else if s.ready() && !s.cut {
 			serving++
+			b.warm = true
 		}
 	}
 	b.cuts, b.measured, b.meanLoad = cuts, n, sum/float64(max(n, 1))
--- a/internal/emulate/fault.go
+++ b/internal/emulate/fault.go
@@ -17,6 +17,11 @@
 			s.slowed *= f.Speed
 			after(func() { s.slowed /= f.Speed })
 		}
+	case faultFailing:
+		for _, s := range w.struck(f, r) {
+			s.failing = f.Part
+			after(func() { s.failing = 0 })
+		}
 	case faultSilent:
 		for _, s := range w.struck(f, r) {
 			if s.state != serves {
--- a/internal/emulate/host.go
+++ b/internal/emulate/host.go
@@ -340,7 +340,7 @@
 	if s.cold() {
 		w.fact(&rules.Fact{Kind: rules.Reached, Copy: c.host.number(), Request: c.id, Server: s.id, Work: work, Capacity: s.capacity()})
 	}
-	a.job = &job{work: work, gone: !a.open}
+	a.job = &job{work: work, gone: !a.open, luck: w.random.part(drawLuck, c.id, uint64(a.number))}
 	a.job.done = func(o jobOutcome) {
 		if !w.passes(c.host, s) {
 			return
@@ -351,6 +351,8 @@
 				a.close(whinknot.OK)
 			case jobFull:
 				a.close(whinknot.Full)
+			case jobError:
+				a.close(whinknot.Error)
 			default:
 				a.close(whinknot.Reset)
 			}
@@ -373,7 +375,7 @@
 	}
 	a.open = false
 	if l := a.link; l != nil && l.open > 0 {
-		if o == whinknot.OK || o == whinknot.Full {
+		if o == whinknot.OK || o == whinknot.Full || o == whinknot.Error {
 			l.idle = append(l.idle, h.w.now())
 		} else {
 			l.open--
--- a/internal/emulate/random.go
+++ b/internal/emulate/random.go
@@ -31,6 +31,7 @@
 var (
 	drawWork  = spread.Name("work")
 	drawDelay = spread.Name("delay")
+	drawLuck  = spread.Name("luck")
 	drawRetry = spread.Name("retry")
 	drawLeave = spread.Name("leave")
 	drawNews  = spread.Name("news")
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -126,6 +126,7 @@
 	Share float64  `toml:"share"` // this share of them, or
 	Count int      `toml:"count"` // so many
 	Speed float64  `toml:"speed"` // of a slow server, against its own
+	Part  float64  `toml:"part"`  // of its requests that a failing server answers with an error
 	Steps int      `toml:"steps"` // of a replacement or of restarts, evenly over the time
 	Drain Duration `toml:"drain"` // from the word that a server drains until it ends
 	Kill  bool     `toml:"kill"`  // copies end without finishing what they have taken
@@ -135,6 +136,7 @@
 // The kinds of fault.
 const (
 	faultSlow    = "slow"       // servers have another speed for the time
+	faultFailing = "failing"    // servers answer a part of what comes with an error, at once and without working
 	faultSilent  = "silent"     // servers take what comes and say nothing
 	faultCrash   = "crash"      // servers are away for the time and come back cold
 	faultReplace = "replace"    // servers drain, end, and others start cold in their place, in steps over the time
@@ -147,7 +149,7 @@
 	faultHold    = "hold"       // operators hold servers out, and release them at the end
 )
 
-var faults = []string{faultSlow, faultSilent, faultCrash, faultReplace, faultZone, faultCut, faultRestart, faultStall, faultDeaf, faultShort, faultHold}
+var faults = []string{faultSlow, faultFailing, faultSilent, faultCrash, faultReplace, faultZone, faultCut, faultRestart, faultStall, faultDeaf, faultShort, faultHold}
 
 // SetDefaults sets what a scenario leaves out.
 func (s *Scenario) SetDefaults() {
@@ -190,7 +192,7 @@
 
 // SetDefaults is a fault in one step.
 func (f *Fault) SetDefaults() {
-	*f = Fault{Steps: 1, Speed: 1, Drain: Duration(2 * time.Second), Down: Duration(time.Second)}
+	*f = Fault{Steps: 1, Speed: 1, Part: 1, Drain: Duration(2 * time.Second), Down: Duration(time.Second)}
 }
 
 // maxScenario bounds a file, and the other figures what one run may take.
@@ -445,6 +447,7 @@
 	within(field+".share", f.Share, 0, 1)
 	within(field+".count", float64(f.Count), 0, maxServers)
 	within(field+".speed", f.Speed, 0.001, 1000)
+	within(field+".part", f.Part, 0, 1)
 	within(field+".steps", float64(f.Steps), 1, 10_000)
 	timed(field+".drain", f.Drain, 0, time.Hour)
 	timed(field+".down", f.Down, 0, time.Hour)
--- a/internal/emulate/server.go
+++ b/internal/emulate/server.go
@@ -24,6 +24,7 @@
 	started float64 // cold from then on; negative for long ago
 	speed   float64 // its own
 	slowed  float64 // against that
+	failing float64 // part of what comes that it answers with an error
 	fallen  bool
 	gone    bool // replaced: it does not come back
 
@@ -43,6 +44,7 @@
 // job is one request at a server.
 type job struct {
 	work  float64                  // ms on one core at full speed
+	luck  float64                  // in [0, 1), by which a failing server fails it
 	gone  bool                     // nobody waits for it
 	done  func(outcome jobOutcome) // nil once it was told
 	place int                      // among those on a core
@@ -52,9 +54,10 @@
 type jobOutcome uint8
 
 const (
-	jobDone jobOutcome = iota
-	jobFull            // no place in the queue: it did not run
-	jobLost            // the server ended while it waited or ran
+	jobDone  jobOutcome = iota
+	jobFull             // no place in the queue: it did not run
+	jobError            // it was answered at once with an error, and may have run
+	jobLost             // the server ended while it waited or ran
 )
 
 // warmth is the part of its own speed that a server has now.
@@ -90,6 +93,8 @@
 		return // it says nothing, ever; it can have run
 	}
 	switch {
+	case j.luck < s.failing:
+		j.tell(jobError)
 	case s.busy < s.spec.Cores:
 		s.start(j)
 	case len(s.queue)-s.head >= s.spec.Queue:
