Keep what pools have learned, pins and the last good file over restarts and reloads

Need: a sidecar that starts again holds its first room for two seconds, refuses beside idle servers and sends to servers that it had cut a moment ago; a reload that changes a pool did the same.

Change: Balancer.Export and Import, plain values. internal/learned weighs them by age: none counts from 60 s on, the room from 15 s, a cut for 30 s, loads and pace fade to the mean; a clock set back or ahead counts for nothing. The module takes a server's part only in the life (id and start) in which it was learned, never while cold. internal/state keeps them in a folder of the instance: two files replaced whole (renameio), schema, instance and CRC32-C over all, a lock; what is damaged, later or another's is set aside and named.

A reload hands over in memory, without any of that.

Tried and out: bbolt. Its consistency check and its reading of the free list run in goroutines of their own, where a page with one wrong byte panics beyond any recover: it would take the sidecar down at its start. Seen with each 400th byte of a file inverted.

A child process killed at each of 72 points of its writes leaves the state before or after, and what it said was kept.

--- a/api.go
+++ b/api.go
@@ -275,3 +275,55 @@
 	After   float64 // time from now
 	Text    string
 }
+
+// Memory is what a balancer has learned, as plain values that another one can be given (package learned weighs them by
+// their age first). It holds no request and no attempt.
+type Memory struct {
+	At            float64 // clock time at which it was so
+	Room          float64 // calls out at once for each server that serves; 0 = not bounded yet
+	Typical, Calm float64 // mean ratio of answers, and its least; 0 = none yet
+	Demand, Sent  float64 // calls a second
+	Classes       []ClassMemory
+	Servers       []ServerMemory
+}
+
+// ClassMemory is what was learned of a class, by its number.
+type ClassMemory struct {
+	Latency float64 // mean of good answers; 0 = none yet
+	Share   float64 // of the calls
+	Served  float64 // part that is answered within the aim
+}
+
+// ServerMemory is what was learned of a server in one life of its.
+type ServerMemory struct {
+	Server        uint32
+	Started       float64 // its life began then; 0 = long ago
+	Load, MaxLoad float64 // calls a second; 0 = not measured
+	Pace, Run     float64
+	Cut           bool
+}
+
+// Export gives what was learned so far.
+func (b *Balancer) Export() Memory {
+	m := Memory{At: b.now, Typical: b.typical, Demand: b.arrivals.now(b.now), Sent: b.sends.now(b.now)}
+	if b.serving > 0 {
+		m.Room = b.room / b.serving
+	}
+	if !math.IsInf(b.calm, 1) {
+		m.Calm = b.calm
+	}
+	for _, c := range b.classes {
+		m.Classes = append(m.Classes, ClassMemory{c.latency, c.share, c.served})
+	}
+	for _, s := range b.live {
+		if s.cold || !s.measured && s.pace == 0 && s.run == 0 {
+			continue
+		}
+		k := ServerMemory{Server: s.Server, Started: s.Started, Pace: s.pace, Run: s.run, Cut: s.cut}
+		if s.measured && !s.cut {
+			k.Load, k.MaxLoad = s.load, s.maxLoad
+		}
+		m.Servers = append(m.Servers, k)
+	}
+	return m
+}
--- a/balancer.go
+++ b/balancer.go
@@ -196,6 +196,8 @@
 	timer           uint64  // its number
 	askAt           float64 // when the list is to be asked; 0 = not
 	backoff         float64
+	roomEach        float64                 // imported, for each server that serves
+	remembered      map[uint32]ServerMemory // imported, of servers that no list has named yet
 }
 
 // New returns a balancer for one copy. The seed makes its random numbers.
@@ -234,6 +236,34 @@
 	return b, nil
 }
 
+// Import gives a balancer that has heard nothing yet what another one learned. Of a server it counts only in
+// the life in which it was learned, and never while it is cold.
+func (b *Balancer) Import(m Memory) {
+	b.typical, b.roomEach = m.Typical, m.Room
+	if m.Calm > 0 {
+		b.calm = m.Calm
+	}
+	b.arrivals, b.sends = average{m.Demand, b.now, 1}, average{m.Sent, b.now, 1}
+	for i := range min(len(m.Classes), len(b.classes)) {
+		k, c := &m.Classes[i], &b.classes[i]
+		c.latency, c.share, c.served = k.Latency, k.Share, k.Served
+	}
+	b.remembered = make(map[uint32]ServerMemory, len(m.Servers))
+	for _, k := range m.Servers {
+		b.remembered[k.Server] = k
+	}
+}
+
+// recall gives a server that is new to this copy what was learned of it.
+func (b *Balancer) recall(s *server) {
+	k, ok := b.remembered[s.Server]
+	if delete(b.remembered, s.Server); !ok || k.Started != s.Started || s.cold {
+		return
+	}
+	s.pace, s.run, s.maxLoad, s.load = k.Pace, k.Run, k.MaxLoad, k.Load
+	s.cut, s.measured = k.Cut, k.Cut || k.Load > 0
+}
+
 // Handle takes one event and appends the actions that answer it.
 func (b *Balancer) Handle(now float64, ev *Event, actions []Action) []Action {
 	clean := ev.cleaned()
@@ -1044,6 +1074,9 @@
 		}
 	}
 	b.cuts, b.measured, b.meanLoad = cuts, n, sum/float64(max(n, 1))
+	if b.serving == 0 {
+		b.room = b.roomEach * serving // what was imported
+	}
 	if serving > 0 {
 		b.room *= serving / cmp.Or(b.serving, serving)
 		b.serving = serving
@@ -1064,6 +1097,11 @@
 	a.sum, a.at = kept*a.sum+n*1000/demandTime, now
 }
 
+// now is the rate as it has faded since the last entry.
+func (a *average) now(at float64) float64 {
+	return a.rate() * math.Exp(min(0, (a.at-at)/demandTime))
+}
+
 func (a *average) rate() float64 { return a.sum / max(a.weight, demandLeast) }
 
 // --- The list of servers.
@@ -1193,6 +1231,8 @@
 	}
 	if s.listed = e.State != Gone; !s.listed {
 		b.leave(s)
+	} else if len(b.remembered) > 0 {
+		b.recall(s)
 	}
 	return s
 }
--- a/internal/emulate/host.go
+++ b/internal/emulate/host.go
@@ -9,6 +9,7 @@
 
 	"whinknot"
 	"whinknot/internal/hold"
+	"whinknot/internal/learned"
 	"whinknot/internal/level"
 	"whinknot/internal/rules"
 	"whinknot/internal/subset"
@@ -56,6 +57,8 @@
 	keeper   *subset.Keeper // nil where it sends to all
 	levels   *levels        // nil for none
 	open     int
+	keepNow  func()          // nil for never
+	kept     whinknot.Memory // what is kept for its next start
 }
 
 // link is a copy's connections to one server.
@@ -116,6 +119,18 @@
 		w.fail(err)
 		return
 	}
+	if memory, age := learned.At(h.kept, w.now()); h.life > 1 && w.sc.Copies.Keep > 0 && age >= 0 {
+		b.Import(memory)
+	}
+	if every := w.sc.Copies.Keep.MS(); every > 0 {
+		var keep func()
+		keep = func() {
+			h.kept = b.Export()
+			h.later(every, keep)
+		}
+		h.later(every*w.random.part(drawNews, uint64(h.rank), h.life<<32), keep)
+		h.keepNow = func() { h.kept = b.Export() }
+	}
 	h.balancer = b
 	if w.wrap != nil {
 		h.balancer = w.wrap(h, b)
@@ -489,6 +504,9 @@
 		}
 	})
 	h.later(longest, h.die)
+	if h.keepNow != nil {
+		h.keepNow()
+	}
 }
 
 // die ends a copy at once: its connections close, and its callers see theirs break.
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -43,6 +43,7 @@
 	Open  int      `toml:"open"`  // requests that one may hold open
 	Skew  float64  `toml:"skew"`  // a copy's part of the callers goes by 1/(its place)^skew; 0 for even
 	Start Duration `toml:"start"` // they start one after the other over this time
+	Keep  Duration `toml:"keep"`  // what a copy has learned is kept so often for its next start; 0 for never
 	Cold  bool     `toml:"cold"`  // at the start they know no list and have measured nothing; else the first warmup teaches them
 }
 
@@ -320,6 +321,7 @@
 	within("copies.count", float64(s.Copies.Count), 1, maxCopies)
 	within("copies.open", float64(s.Copies.Open), 1, 1e6)
 	within("copies.skew", s.Copies.Skew, 0, 3)
+	timed("copies.keep", s.Copies.Keep, 0, time.Hour)
 	timed("copies.start", s.Copies.Start, 0, time.Duration(s.For))
 	v := &s.Servers
 	within("servers.count", float64(v.Count), 1, maxServers)
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -48,6 +48,10 @@
 	}
 	c.limits(&f.Limits)
 	c.context(&f.Context)
+	if f.State.Path != "" {
+		Under(c.folder, &f.State.Path)
+		c.within("state.every", f.State.Every, 100*time.Millisecond, time.Hour)
+	}
 	c.listeners()
 	c.pools()
 	c.routes()
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -64,6 +64,7 @@
 	Name      string     `toml:"name"`
 	Limits    Limits     `toml:"limits"`
 	Context   Context    `toml:"context"`
+	State     State      `toml:"state"`
 	Listeners []Listener `toml:"listener"`
 	Pools     []Pool     `toml:"pool"`
 	Routes    []Route    `toml:"route"`
@@ -98,6 +99,12 @@
 	Trace   string  `toml:"trace"`   // the file for that
 }
 
+// State is where what must survive a restart is kept. It is off without a path. It counts from the start on, not from a reload.
+type State struct {
+	Path  string   `toml:"path"`  // a folder of this instance alone, on a disk that lasts
+	Every Duration `toml:"every"` // between two snapshots of what pools have learned
+}
+
 // Listener is one address at which requests are taken.
 type Listener struct {
 	Name        string `toml:"name"`
@@ -243,6 +250,7 @@
 func (l *Listener) SetDefaults() {
 	*l = Listener{Front: HTTP, MaxBody: 8 << 20, Streams: 100, MaxWorth: 100}
 }
+func (s *State) SetDefaults()   { *s = State{Every: Duration(2 * time.Second)} }
 func (c *Context) SetDefaults() { *c = Context{Retries: 2} }
 func (s *Share) SetDefaults()   { *s = Share{Least: 16, Weight: 1} }
 func (c *Class) SetDefaults()   { *c = Class{Worth: 1} }
--- a/internal/sidecar/instance.go
+++ b/internal/sidecar/instance.go
@@ -14,6 +14,7 @@
 	"whinknot/internal/grpcfront"
 	"whinknot/internal/level"
 	"whinknot/internal/operator"
+	"whinknot/internal/state"
 )
 
 const (
@@ -43,6 +44,11 @@
 	pools     map[*pool]bool // those that run
 	ending    sync.WaitGroup // what ends beside
 	ended     chan struct{}
+
+	keeping *Keeping      // nil where nothing survives
+	writer  *state.Writer // likewise
+	warm    atomic.Bool   // a pool began with what an earlier process had learned
+	oldest  time.Duration // how old that was, at most; written before requests are taken
 }
 
 // generation is one loaded file. All but refs is immutable.
@@ -78,16 +84,28 @@
 // NewInstance opens the listeners of a file, starts its pools and takes requests. Run has to be called to end it. Apply
 // puts the limits of the process in force, with each file; it may be nil.
 func NewInstance(cfg *operator.Config, apply func(operator.Limits)) (*Instance, error) {
+	return NewKeptInstance(cfg, apply, nil)
+}
+
+// NewKeptInstance makes one that keeps what must survive its restart, and begins with what was kept; nil for neither.
+func NewKeptInstance(cfg *operator.Config, apply func(operator.Limits), keeping *Keeping) (*Instance, error) {
 	callers, _ := cfg.Descriptors()
 	i := &Instance{
 		callers: newCallers(callers), ledger: &ledger{}, streams: &ledger{}, listeners: map[string]*listener{}, pools: map[*pool]bool{},
 		retiring: map[*listener]bool{}, ended: make(chan struct{}), apply: apply,
+		keeping: keeping,
 	}
 	i.callers.all = map[*caller]bool{}
 	if err := i.install(cfg); err != nil {
 		i.ending.Wait()
 		return nil, err
 	}
+	if keeping != nil {
+		if err := i.keepGood(cfg); err != nil {
+			slog.Error("generation", "err", err)
+		}
+		i.keep()
+	}
 	return i, nil
 }
 
@@ -110,6 +128,9 @@
 	if err := i.install(cfg); err != nil {
 		return current.number, err
 	}
+	if err := i.keepGood(cfg); err != nil { // it is in force all the same
+		slog.Error("generation", "err", err)
+	}
 	return current.number + 1, nil
 }
 
@@ -173,9 +194,12 @@
 	// From here on nothing fails.
 	for _, p := range begun {
 		var before *level.Machine
+		var place *pool // in which it comes
 		if old != nil && old.pools[p.name] != nil {
-			before = old.pools[p.name].levelState()
+			place = old.pools[p.name]
+			before = place.levelState()
 		}
+		i.recall(p, place)
 		p.start(known(cfg, &p.spec), before)
 	}
 	i.mu.Lock()
@@ -417,6 +441,7 @@
 			g.rpc.End()
 		}
 	})
+	i.lastWord()
 	close(i.ended)
 	i.callers.closeAll() // what still streams ends unfinished, as its caller can tell
 	for _, gt := range gates {
@@ -468,8 +493,10 @@
 	Draining                bool
 	Callers                 int // connections
 	Pools                   []PoolStatus
-	Served, Refused, Failed uint64  // since the start, all pools together
-	P99                     float64 // ms, of the requests served last
+	Served, Refused, Failed uint64        // since the start, all pools together
+	P99                     float64       // ms, of the requests served last
+	Start                   string        // StartCold or StartWarm
+	Age                     time.Duration // of what it began with, if warm
 }
 
 // SetAway has the instance say that it is not ready, or that it is again. Requests that come all the same are served.
@@ -488,7 +515,10 @@
 	g := i.current
 	s := Status{
 		Generation: g.number, Config: g.cfg, Draining: i.draining || i.away.Load(),
-		Served: i.past.Served, Refused: i.past.Refused, Failed: i.past.Failed,
+		Served: i.past.Served, Refused: i.past.Refused, Failed: i.past.Failed, Start: StartCold,
+	}
+	if i.warm.Load() {
+		s.Start, s.Age = StartWarm, i.oldest
 	}
 	var pools []*pool
 	for _, spec := range g.cfg.Pools {
--- a/internal/sidecar/levels.go
+++ b/internal/sidecar/levels.go
@@ -13,6 +13,7 @@
 	"whinknot"
 	"whinknot/internal/level"
 	"whinknot/internal/operator"
+	"whinknot/internal/state"
 )
 
 const levelTick = 100 * time.Millisecond // between two looks at a pool's signals
@@ -241,6 +242,13 @@
 // Pin keeps a level of a pool in force for a time, whatever its signals say. The reason of an error is level.ErrUnknown,
 // ErrNoPool or ErrNoLevels, or the time.
 func (i *Instance) Pin(pool, name string, ttl time.Duration) error {
+	if err := i.pin(pool, name, ttl); err != nil {
+		return err
+	}
+	return i.keepPin(pool, &state.Pin{Level: name, Until: time.Now().Add(ttl)})
+}
+
+func (i *Instance) pin(pool, name string, ttl time.Duration) error {
 	if ttl <= 0 || ttl > mostPin {
 		return fmt.Errorf("a level is pinned for up to %v, not %v", mostPin, ttl)
 	}
@@ -256,11 +264,14 @@
 
 // Release ends a pin: the pool's signals decide again.
 func (i *Instance) Release(pool string) error {
-	return i.command(pool, func(m *level.Machine) error {
+	if err := i.command(pool, func(m *level.Machine) error {
 		m.Release(time.Now())
 		slog.Warn("level of service released", "pool", pool)
 		return nil
-	})
+	}); err != nil {
+		return err
+	}
+	return i.keepPin(pool, nil)
 }
 
 // command does something to the levels of a pool of the generation in force.
--- /dev/null
+++ b/memory_test.go
@@ -0,0 +1,122 @@
+package whinknot
+
+import (
+	"math"
+	"reflect"
+	"testing"
+)
+
+// taught is a balancer that has served for 40 s: server 100 is quick, 101 slow, 102 fails.
+func taught(t *testing.T, entries ...ServerEntry) *harness {
+	t.Helper()
+	h := start(t, plain(), entries...)
+	for id := uint32(1); id <= 4000; id++ {
+		h.now += 10
+		tries := uint16(0)
+		for list := h.request(id, uint16(id%3)); len(list) > 0; {
+			a := list[0]
+			if list = list[1:]; a.Kind != ActSend {
+				continue
+			}
+			ev := Event{Kind: EvOutcome, Request: a.Request, Server: a.Server, Attempt: tries, Took: 30}
+			tries++
+			switch a.Server {
+			case 101:
+				ev.Took = 200
+			case 102:
+				ev.Outcome = ConnectFailed
+			}
+			list = append(list, h.do(ev)...)
+		}
+	}
+	if h.b.Cuts() != 1 || h.b.measured < 2 {
+		t.Fatalf("%d cut, %d measured", h.b.Cuts(), h.b.measured)
+	}
+	return h
+}
+
+// given is a balancer that begins with what another has learned.
+func given(t *testing.T, m Memory, now float64, entries ...ServerEntry) *Balancer {
+	t.Helper()
+	b, err := New(plain(), 7, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Import(m)
+	b.Handle(now, &Event{Kind: EvList, List: ListFull, Servers: entries}, nil)
+	return b
+}
+
+// At age 0 what was learned decides as it did: the same loads, the same server cut, the same room, and the same server chosen.
+func TestImportDecidesAsTheOriginal(t *testing.T) {
+	entries := ids(6)
+	h := taught(t, entries...)
+	b := given(t, h.b.Export(), h.now, entries...)
+	for _, e := range entries {
+		s, o := b.byID[e.Server], h.b.byID[e.Server]
+		if s.cut != o.cut || math.Abs(b.loadOf(s)-h.b.loadOf(o)) > 1e-9 || s.pace != o.pace || s.run != o.run {
+			t.Errorf("server %d: cut %v, load %v, pace %v; was %v, %v, %v", e.Server, s.cut, b.loadOf(s), s.pace, o.cut, h.b.loadOf(o), o.pace)
+		}
+	}
+	if math.Abs(b.room-h.b.room) > 1e-9 || b.typical != h.b.typical || math.Abs(b.calm/h.b.calm-1) > 2*calmDrift || b.Cuts() != 1 {
+		t.Errorf("room %v, typical %v, calm %v; was %v, %v, %v", b.room, b.typical, b.calm, h.b.room, h.b.typical, h.b.calm)
+	}
+	if again := b.Export(); len(again.Servers) != len(h.b.Export().Servers) || !reflect.DeepEqual(again.Classes, h.b.Export().Classes) {
+		t.Errorf("exported again: %+v", again)
+	}
+	sent := func(b *Balancer, now float64) (got []uint32) { // all credit is full by then, and no connection is known
+		for _, s := range b.live {
+			s.linked, s.lastSent, s.heard, s.reviseAt = false, 0, 0, math.Inf(1)
+			b.accrue(s)
+		}
+		for id := uint32(9001); id <= 9004; id++ {
+			for _, a := range b.Handle(now, &Event{Kind: EvRequest, Request: id, Class: 2, Due: now + 1000}, nil) {
+				if a.Kind == ActSend {
+					got = append(got, a.Server)
+				}
+			}
+		}
+		return got
+	}
+	if a, o := sent(b, h.now+1000), sent(h.b, h.now+1000); len(a) == 0 || !reflect.DeepEqual(a, o) {
+		t.Errorf("sent to %v, the original to %v", a, o)
+	}
+}
+
+// Of a server that has started since, or that the memory does not name, nothing counts; a cold one stays cold.
+func TestImportIsOfOneLife(t *testing.T) {
+	entries := ids(6)
+	h := taught(t, entries...)
+	m := h.b.Export()
+	next := append([]ServerEntry(nil), entries...)
+	next[0].Started = h.now - 100     // started anew, cold
+	next[2].Started = h.now - 1000000 // started anew, warm by now; it was cut
+	next = append(next, ServerEntry{Server: 900, Weight: 1})
+	b := given(t, m, h.now, next...)
+	for _, n := range []uint32{100, 102, 900} {
+		if s := b.byID[n]; s.measured || s.cut || s.pace != 0 || s.maxLoad != 0 || s.cold != (n == 100) {
+			t.Errorf("server %d: %+v", n, s)
+		}
+	}
+	if s := b.byID[101]; !s.measured || s.pace == 0 {
+		t.Errorf("server 101: measured %v, pace %v", s.measured, s.pace)
+	}
+	if b.Cuts() != 0 || len(b.remembered) != 0 && b.remembered[100].Server != 0 {
+		t.Errorf("%d cut, %d remembered", b.Cuts(), len(b.remembered))
+	}
+	// In a later list it is the same life still, and what is known by then stays.
+	b.byID[101].pace = 0.123
+	b.Handle(h.now+50, &Event{Kind: EvList, List: ListFull, Servers: next}, nil)
+	if b.byID[101].pace != 0.123 {
+		t.Error("remembered once more")
+	}
+}
+
+// Nothing to remember is the same as nothing imported.
+func TestImportOfNothing(t *testing.T) {
+	a := given(t, Memory{}, 5000, ids(4)...)
+	o := start(t, plain(), ids(4)...).b
+	if a.room != o.room || !math.IsInf(a.calm, 1) || a.measured != 0 || a.firstRoom != o.firstRoom {
+		t.Errorf("room %v, calm %v, %d measured", a.room, a.calm, a.measured)
+	}
+}
