Keep the room of a copy whose first list was empty: nothing imported must set nothing

Change: only an imported room is put in force. Test: TestFirstServerAfterNone fails without (room 0, nothing sent).

--- a/balancer.go
+++ b/balancer.go
@@ -1074,7 +1074,7 @@
 		}
 	}
 	b.cuts, b.measured, b.meanLoad = cuts, n, sum/float64(max(n, 1))
-	if b.serving == 0 {
+	if b.serving == 0 && b.roomEach > 0 {
 		b.room = b.roomEach * serving // what was imported
 	}
 	if serving > 0 {
--- a/internal/emulate/host.go
+++ b/internal/emulate/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"whinknot"
+	"whinknot/internal/budget"
 	"whinknot/internal/hold"
 	"whinknot/internal/learned"
 	"whinknot/internal/level"
@@ -89,6 +90,7 @@
 	attempts []*attempt
 	shed     *level.Shed
 	waits    *list.Element
+	budget   *budget.Pool // nil for none
 }
 
 // attempt is one send of a call.
@@ -243,6 +245,12 @@
 	q.call = c
 	w.fact(&rules.Fact{Kind: rules.Taken, Copy: h.number(), Request: c.id, Class: uint16(q.class), Due: c.came + giveUp})
 	h.admit(c)
+	if n := w.sc.Copies.Retries; n > 0 {
+		c.budget = budget.NewPool(n)
+		if c.event.Attempts == 0 || c.event.Attempts > 1+n {
+			c.event.Attempts = 1 + n
+		}
+	}
 	h.later(c.event.Due+backstop-w.now(), func() { h.giveUp(c) })
 	h.handle(&c.event)
 	h.tidy()
@@ -264,6 +272,10 @@
 	c.attempts = append(c.attempts, a)
 	c.open++
 	h.sentFirst(c)
+	if c.budget != nil && a.number > 0 && !c.budget.Spend() {
+		h.later(0, func() { a.close(whinknot.NotSent) })
+		return
+	}
 	w.result.attempts++
 	w.fact(&rules.Fact{Kind: rules.Sent, Copy: h.number(), Request: c.id, Attempt: uint16(a.number), Server: id})
 	h.later(until-w.now(), func() { a.close(whinknot.Timeout) })
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -14,6 +14,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"whinknot/internal/budget"
 	"whinknot/internal/operator"
 )
 
@@ -44,7 +45,9 @@
 	Skew  float64  `toml:"skew"`  // a copy's part of the callers goes by 1/(its place)^skew; 0 for even
 	Start Duration `toml:"start"` // they start one after the other over this time
 	Keep  Duration `toml:"keep"`  // what a copy has learned is kept so often for its next start; 0 for never
-	Cold  bool     `toml:"cold"`  // at the start they know no list and have measured nothing; else the first warmup teaches them
+	// As an operator file's [context], with servers that are leaves: attempts beyond the first that a request of the outside may cause.
+	Retries int  `toml:"retries"` // 0 for no budget
+	Cold    bool `toml:"cold"`    // at the start they know no list and have measured nothing; else the first warmup teaches them
 }
 
 // Servers are the servers of the pool as they are at the start; a replaced one is like the one before.
@@ -321,6 +324,7 @@
 	within("copies.count", float64(s.Copies.Count), 1, maxCopies)
 	within("copies.open", float64(s.Copies.Open), 1, 1e6)
 	within("copies.skew", s.Copies.Skew, 0, 3)
+	within("copies.retries", float64(s.Copies.Retries), 0, budget.MaxRetries)
 	timed("copies.keep", s.Copies.Keep, 0, time.Hour)
 	timed("copies.start", s.Copies.Start, 0, time.Duration(s.For))
 	v := &s.Servers
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -41,6 +41,7 @@
 	checker *rules.Checker
 	hash    *xxhash.Digest
 	wrap    func(*host, decider) decider // of a test that has modules misbehave; nil for none
+	heard   func(*rules.Fact)            // hears of all that happens; nil for nobody
 	stopped func() bool                  // whoever plays it wants no more of it; nil for never
 
 	asks    uint64 // requests of callers
@@ -117,6 +118,9 @@
 	}
 	w.hash.Write(b[:])
 	w.checker.Hear(f)
+	if w.heard != nil {
+		w.heard(f)
+	}
 }
 
 // delay is the time of one of the messages of an attempt.
--- a/internal/emulate/world_test.go
+++ b/internal/emulate/world_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"whinknot"
+	"whinknot/internal/rules"
 )
 
 // kept are the scenarios that the repository keeps.
@@ -341,6 +342,54 @@
 	}
 }
 
+// With a budget a request has no more attempts than that allows, whatever the pool's own limit.
+func TestBudgetBoundsAttempts(t *testing.T) {
+	for retries, most := range map[int]int{0: 4, 1: 2, 2: 3} {
+		sc := load(t, "../../deploy/scenarios/failing.toml", "for=14s", "demand.rate=500", "pool.attempts=4", fmt.Sprintf("copies.retries=%d", retries),
+			`fault=[{kind="failing", at="1s", for="13s", share=0.8}]`)
+		w := newWorld(sc, 1)
+		sent, seen := map[uint64]int{}, 0
+		w.heard = func(f *rules.Fact) {
+			if f.Kind == rules.Sent {
+				sent[f.Request]++
+				seen = max(seen, sent[f.Request])
+			}
+		}
+		w.play()
+		if seen != most || w.result.BreakCount > 0 {
+			t.Errorf("%d retries: up to %d attempts, want %d; breaks %v", retries, seen, most, w.result.Breaks)
+		}
+	}
+}
+
+// Copies that keep what they have learned serve more after restarts, and break no rule where that is wrong: all servers replaced meanwhile.
+func TestKeptMemory(t *testing.T) {
+	jobs := func(more ...string) (list []Job) {
+		sc := load(t, "../../deploy/scenarios/storm.toml", append(more, "for=20s", "demand.rate=900", "copies.count=15")...)
+		for seed := range uint64(4) {
+			list = append(list, Job{sc, "", seed})
+		}
+		return list
+	}
+	replaced := `fault=[{kind="restart", at="10s", share=1.0, kill=true, down="3s"}, {kind="crash", at="10s", for="1s", share=1.0}]`
+	var shares [4]float64
+	for i, more := range [][]string{nil, {"copies.keep=2s"}, {replaced}, {replaced, "copies.keep=2s"}} {
+		results, err := Play(t.Context(), jobs(more...), 4, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range results {
+			shares[i] += r.Share / 4
+			if r.BreakCount > 0 || r.Falls > 0 {
+				t.Errorf("%v: %d fell, %v", more, r.Falls, r.Breaks)
+			}
+		}
+	}
+	if shares[1] <= shares[0] || shares[3] < shares[2]-0.01 {
+		t.Errorf("served worth cold %.4f, warm %.4f; with all servers replaced cold %.4f, warm %.4f", shares[0], shares[1], shares[2], shares[3])
+	}
+}
+
 // Levels, holds, stalls, cuts and late lists: the rest of what a scenario can ask for keeps the rules too.
 func TestOtherFaultsKeepTheRules(t *testing.T) {
 	for i, fault := range []string{
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -10,6 +10,7 @@
 //	go run ./internal/measure tiers
 //	go run ./internal/measure levels -for 10m -seeds 10 -svg FILE
 //	go run ./internal/measure margins
+//	go run ./internal/measure state
 //	go run ./internal/measure emulate
 //	go run ./internal/measure emulate-size -large
 package main
@@ -50,13 +51,15 @@
 
 func run(args []string) error {
 	if len(args) == 0 {
-		return errors.New("needs a subcommand: platform, operator, grpc, import, tiers, levels, margins, emulate or emulate-size")
+		return errors.New("needs a subcommand: platform, operator, grpc, import, tiers, levels, margins, state, emulate or emulate-size")
 	}
 	switch args[0] {
 	case "levels":
 		return levels(args[1:], os.Stdout)
 	case "margins":
 		return margins(args[1:], os.Stdout)
+	case "state":
+		return kept(args[1:], os.Stdout)
 	case "emulate":
 		return emulated(args[1:], os.Stdout)
 	case "emulate-size":
--- a/internal/measure/margins.go
+++ b/internal/measure/margins.go
@@ -103,6 +103,7 @@
 
 	mu                                     sync.Mutex
 	asked, served, refused, failed, broken int
+	inTime                                 int           // of those served
 	latest                                 time.Duration // answer past its client's time
 	conns, callers                         int           // most of one sidecar
 	heap                                   uint64
@@ -267,6 +268,9 @@
 		return
 	case status == http.StatusOK:
 		s.served++
+		if late+marginWait <= marginAim {
+			s.inTime++
+		}
 	case status == http.StatusServiceUnavailable:
 		s.refused++
 	default:
--- a/memory_test.go
+++ b/memory_test.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// A copy that began with no server and nothing to remember sends to the first one that it hears of at once.
+func TestFirstServerAfterNone(t *testing.T) {
+	h := start(t, plain())
+	h.now += 300
+	h.do(Event{Kind: EvList, List: ListDelta, Servers: ids(1)})
+	h.now += 5
+	if got := h.request(1, 0); len(got) != 1 || got[0].Kind != ActSend {
+		t.Errorf("%+v, room %v", got, h.b.room)
+	}
+}
+
 // Nothing to remember is the same as nothing imported.
 func TestImportOfNothing(t *testing.T) {
 	a := given(t, Memory{}, 5000, ids(4)...)
