--- /dev/null
+++ b/cmd/milletmast/state_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"whinknot"
+	"whinknot/internal/operator"
+	"whinknot/internal/state"
+)
+
+const goodFile = `[[listener]]
+name = "in"
+address = "127.0.0.1:0"
+[[pool]]
+name = "p"
+[[pool.class]]
+name = "read"
+aim = "100ms"
+give_up = "1s"
+effect = "safe"
+[[pool.server]]
+address = "127.0.0.1:9"
+[[route]]
+name = "r"
+prefix = "/"
+pool = "p"
+class = "read"
+`
+
+// folder is a state folder that holds something of each kind.
+func folder(t *testing.T, text string) string {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "state")
+	s, _, _, err := state.Open(dir, "box-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := float64(time.Now().UnixMilli())
+	if err := errors.Join(
+		s.PutPools(map[string]state.Pool{"p": {Servers: []string{"a", "b"}, Memory: whinknot.Memory{At: now, Room: 2, Servers: []whinknot.ServerMemory{{Cut: true}, {Load: 3}}}}}),
+		s.PutPin("p", &state.Pin{Level: "lean", Until: time.Now().Add(time.Hour)}),
+		s.PutGood(&state.Generation{Path: "operator.toml", Hash: "0123456789abcdef", Text: []byte(text), At: time.Now()}), s.Close(),
+	); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func TestStateCommands(t *testing.T) {
+	dir := folder(t, goodFile)
+	call := func(args ...string) (string, error) {
+		var out bytes.Buffer
+		cmd := command()
+		cmd.SetArgs(append([]string{"state"}, args...))
+		cmd.SetOut(&out)
+		cmd.SetErr(&out)
+		err := cmd.Execute()
+		return out.String(), err
+	}
+	out, err := call("show", dir)
+	for _, want := range []string{"instance=box-1", "pool=p age=", "servers=2 cut=1 room=2.00", "pin=p level=lean", "generation=0123456789ab file=operator.toml"} {
+		if err != nil || !strings.Contains(out, want) {
+			t.Errorf("%v, no %q in\n%s", err, want, out)
+		}
+	}
+	if out, err := call("verify", dir); err != nil || !strings.Contains(out, "sound: instance=box-1 pools=1 pins=1") {
+		t.Errorf("%s, %v", out, err)
+	}
+	if _, err := call("reset", dir); err == nil || !strings.Contains(err.Error(), "--yes") {
+		t.Error(err)
+	}
+	file := filepath.Join(dir, "held")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, text[:len(text)-2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call("verify", dir); !errors.Is(err, state.ErrDamaged) || !strings.Contains(err.Error(), file) {
+		t.Errorf("a file cut short: %v", err)
+	}
+	if _, err := call("reset", dir, "--yes"); err != nil {
+		t.Error(err)
+	}
+	if _, err := call("show", dir); !errors.Is(err, os.ErrNotExist) {
+		t.Error(err)
+	}
+}
+
+// Where the operator file cannot be used the last good one is, and if that cannot be either both causes are told.
+func TestLastGood(t *testing.T) {
+	cause := errors.New("operator.toml: no such file")
+	cfg, err := lastGoodFile(folder(t, goodFile), cause)
+	if err != nil || len(cfg.Pools) != 1 || cfg.Path != "operator.toml" {
+		t.Errorf("%+v, %v", cfg, err)
+	}
+	if _, err := lastGoodFile(folder(t, "[[pool]]\n"), cause); !errors.Is(err, cause) || !strings.Contains(err.Error(), "cannot be used either") {
+		t.Error(err)
+	}
+	if _, err := lastGoodFile(t.TempDir(), cause); !errors.Is(err, cause) || !errors.Is(err, os.ErrNotExist) {
+		t.Error(err)
+	}
+}
+
+// Without a folder nothing is kept; one that cannot be had is told and leaves the instance without.
+func TestOpenState(t *testing.T) {
+	cfg, err := operator.Parse("operator.toml", []byte(goodFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k := openState(cfg); k != nil {
+		t.Errorf("%+v", k)
+	}
+	if cfg, err = operator.Parse("operator.toml", []byte(goodFile+"[state]\npath = \"x\"\n")); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg.State.Path = filepath.Join(file, "below")
+	if k := openState(cfg); k != nil {
+		t.Errorf("%+v", k)
+	}
+	cfg.State.Path = filepath.Join(t.TempDir(), "state")
+	k := openState(cfg)
+	if k == nil || k.Had == nil || k.Every != 2*time.Second {
+		t.Fatalf("%+v", k)
+	}
+	if other := openState(cfg); other != nil {
+		t.Error("two have the folder")
+	}
+	k.Store.Close()
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -99,6 +99,7 @@
 		{"hidden", small + "\n[[route]]\nname = \"two\"\nregex = \"/.*\"\npool = \"box\"\nclass = \"read\"\n", "prefix", "route[0].prefix", "unreachable"},
 		{"descriptors", edit(`name = "box"`, "name = \"box\"\nconnections = { least = 50 }") + "\n[limits]\nsockets = 64\n", "sockets", "limits.sockets", "promised"},
 		{"memory", small + "\n[limits]\nmemory = \"1MiB\"\n", "memory", "limits.memory", "under"},
+		{"state", small + "\n[state]\npath = \"s\"\nevery = \"1ms\"\n", "every", "state.every", "impossible time"},
 		{"no TOML", small + "x = = 1\n", "x = =", "", ""},
 		{"key twice", small + "name = \"again\"\n", "", "", ""},
 		{"server file", edit("[[pool.server]]\naddress = \"127.0.0.1:9001\"", "[pool.source]\ntype = \"file\"\npath = \"none.toml\""), "path", "pool[0].source.path", "no such file"},
