--- a/internal/measure/state.go
+++ b/internal/measure/state.go
@@ -23,24 +23,33 @@
 
 const firstSeconds = 5 * time.Second // after a restart
 
-// kept measures what a kept state is worth over sockets: an instance serves for a while, ends, and another starts in its place, with what the
+// kept measures what a kept state is worth over sockets: sidecars serve for a while, end, and others start in their place, with what the
 // first had learned or without; the same where all servers were replaced meanwhile. And what keeping costs.
 func kept(args []string, out io.Writer) error {
 	flags := flag.NewFlagSet("state", flag.ContinueOnError)
 	seeds := flags.Int("seeds", 20, "")
 	load := flags.Float64("load", 0.7, "of what the servers can do")
+	copies := flags.Int("copies", 12, "sidecars, all restarted at once")
+	sizes := flags.Bool("sizes", false, "only what keeping costs")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
+	if *sizes {
+		return keptSizes(out)
+	}
+	if *copies < 1 || *copies > 100 {
+		return fmt.Errorf("1 to 100 copies are allowed")
+	}
 	if *seeds < 2 || *seeds > 100 || !(*load > 0 && *load <= 2) {
 		return fmt.Errorf("2 to 100 seeds and a load of up to 2 are allowed")
 	}
-	fmt.Fprintf(out, "first %v after a restart, %d seeds, 12 servers of two cores, one of which fails, at %.1f of what they can do\n", firstSeconds, *seeds, *load)
+	fmt.Fprintf(out, "first %v after %d sidecars restart at once, %d seeds, 12 servers of two cores, one of which fails, at %.1f of what they can do\n",
+		firstSeconds, *copies, *seeds, *load)
 	for _, replaced := range []bool{false, true} {
 		var refused, served [2][]float64
 		for seed := range *seeds {
 			for i, warm := range []bool{false, true} {
-				r, s, err := restart(uint64(seed), *load, warm, replaced)
+				r, s, err := restart(uint64(seed), *load, *copies, warm, replaced)
 				if err != nil {
 					return err
 				}
@@ -61,7 +70,7 @@
 }
 
 // restart plays one restart and gives the requests refused and the share served in time in the first seconds after it.
-func restart(seed uint64, load float64, warm, replaced bool) (refused, served float64, err error) {
+func restart(seed uint64, load float64, copies int, warm, replaced bool) (refused, served float64, err error) {
 	dir, err := os.MkdirTemp("", "state")
 	if err != nil {
 		return 0, 0, err
@@ -95,35 +104,45 @@
 				return 0, 0, err
 			}
 		}
-		cfg, err := operator.Parse(filepath.Join(dir, "file.toml"), []byte(s.file(0, 1)))
-		if err != nil {
-			return 0, 0, err
-		}
-		var keeping *sidecar.Keeping
-		if warm {
-			store, had, _, err := state.Open(filepath.Join(dir, "state"), "one")
+		var addrs []string
+		var running sync.WaitGroup
+		ctx, stop := context.WithCancel(context.Background())
+		for rank := range copies {
+			one, err := begin(s, dir, rank, copies, warm)
 			if err != nil {
+				stop()
+				running.Wait()
 				return 0, 0, err
 			}
-			keeping = &sidecar.Keeping{Store: store, Had: had, Every: 500 * time.Millisecond}
-		}
-		one, err := sidecar.NewKeptInstance(cfg, nil, keeping)
-		if err != nil {
-			return 0, 0, err
+			running.Go(func() { one.Run(ctx) })
+			addrs = append(addrs, one.Addresses()["in"])
 		}
-		ctx, stop := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() { defer close(ended); one.Run(ctx) }()
 		s.asked, s.served, s.refused, s.inTime = 0, 0, 0, 0
-		s.steady(one.Addresses()["in"], rate, firstSeconds, seed)
+		s.steady(addrs, rate, firstSeconds, seed)
 		stop()
-		<-ended
+		running.Wait()
 	}
 	return float64(s.refused), float64(s.inTime) / float64(max(s.asked, 1)), nil
 }
 
-// steady sends a seeded load to one sidecar.
-func (s *site) steady(addr string, rate float64, length time.Duration, seed uint64) {
+// begin starts one sidecar, with a state of its own if it is to start warm.
+func begin(s *site, dir string, rank, copies int, warm bool) (*sidecar.Instance, error) {
+	cfg, err := operator.Parse(filepath.Join(dir, "file.toml"), []byte(s.file(rank, copies)))
+	if err != nil {
+		return nil, err
+	}
+	if !warm {
+		return sidecar.NewInstance(cfg, nil)
+	}
+	store, had, _, err := state.Open(filepath.Join(dir, fmt.Sprint("state", rank)), "one")
+	if err != nil {
+		return nil, err
+	}
+	return sidecar.NewKeptInstance(cfg, nil, &sidecar.Keeping{Store: store, Had: had, Every: 500 * time.Millisecond})
+}
+
+// steady sends a seeded load to sidecars.
+func (s *site) steady(addrs []string, rate float64, length time.Duration, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 9))
 	var open sync.WaitGroup
 	defer open.Wait()
@@ -133,6 +152,7 @@
 			return
 		}
 		time.Sleep(time.Until(begun.Add(at)))
+		addr := addrs[r.IntN(len(addrs))]
 		open.Go(func() { s.ask(addr) })
 	}
 }
