Mend a data race between a status and a reload that adds a pool which starts warm

Cause, found by reading: recall writes how old the kept state was also in a reload that adds a pool of which an earlier process had learned something, while Status may read it; the field was plain, and its comment said that it is written before requests are taken.

Change: it is atomic, like the flag beside it, and written before that. TestReloadAddsAWarmPool does just this; with the plain field the race detector stops it.

--- a/internal/sidecar/instance.go
+++ b/internal/sidecar/instance.go
@@ -48,7 +48,7 @@
 	keeping *Keeping      // nil where nothing survives
 	writer  *state.Writer // likewise
 	warm    atomic.Bool   // a pool began with what an earlier process had learned
-	oldest  time.Duration // how old that was, at most; written before requests are taken
+	oldest  atomic.Int64  // how old that was, at most, in ns; a reload may add such a pool
 }
 
 // generation is one loaded file. All but refs is immutable.
@@ -518,7 +518,7 @@
 		Served: i.past.Served, Refused: i.past.Refused, Failed: i.past.Failed, Start: StartCold,
 	}
 	if i.warm.Load() {
-		s.Start, s.Age = StartWarm, i.oldest
+		s.Start, s.Age = StartWarm, time.Duration(i.oldest.Load())
 	}
 	var pools []*pool
 	for _, spec := range g.cfg.Pools {
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -81,8 +81,8 @@
 		return
 	}
 	if age, counts := p.remember(s); counts {
+		i.oldest.Store(max(i.oldest.Load(), int64(age))) // one reload at a time
 		i.warm.Store(true)
-		i.oldest = max(i.oldest, age)
 		slog.Info("pool starts warm", "pool", p.name, "age", age.Round(time.Millisecond), "servers", len(s.Servers))
 	}
 }
--- a/internal/sidecar/kept_test.go
+++ b/internal/sidecar/kept_test.go
@@ -124,3 +124,39 @@
 		t.Errorf("%d servers are cut that have started anew", n)
 	}
 }
+
+// A reload may add a pool of which an earlier process had learned something, while a status is asked for.
+func TestReloadAddsAWarmPool(t *testing.T) {
+	s := withFailing(t)
+	dir := filepath.Join(t.TempDir(), "state")
+	other := poolText("q", "", s[1])
+	i, stop := keeping(t, dir, parse(t, reading("", s), other))
+	teach(t, i)
+	stop()
+	store, had, _, err := state.Open(dir, "one")
+	if err != nil {
+		t.Fatal(err)
+	}
+	had.Pools["q"] = had.Pools["p"] // of the same classes
+	delete(had.Pools, "p")
+	if i, err = NewKeptInstance(parse(t, reading("", s)), nil, &Keeping{Store: store, Had: had, Every: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended, asked := make(chan struct{}), make(chan struct{})
+	go func() { defer close(ended); i.Run(ctx) }()
+	go func() {
+		defer close(asked)
+		for i.Status().Start == StartCold && ctx.Err() == nil {
+		}
+	}()
+	if _, err := i.Reload(parse(t, reading("", s), other)); err != nil {
+		t.Error(err)
+	}
+	<-asked
+	if st := i.Status(); st.Start != StartWarm || st.Age <= 0 {
+		t.Errorf("started %s, age %v", st.Start, st.Age)
+	}
+	cancel()
+	<-ended
+}
