Have one piece of code tell a file's errors and read its bytes; drop what nothing used

Need: a second reading of the change found things written twice or for nobody.

Change: operator.Tell serves milletmast and milletemu, which each had it; scenarios are read by operator.ReadFile, which also refuses what is no regular file. Out of the emulator go a count that nobody read, a closure beside its twin and a condition that always held; out of compare two verdicts that no figure could have. A state file is encoded in one pass, not its body first and then the whole.

Tests of operator, emulate, plan, state, sidecar (the last two with -race), ctl, agent and the commands pass.

--- a/cmd/milletemu/emulate.go
+++ b/cmd/milletemu/emulate.go
@@ -18,6 +18,7 @@
 
 	"whinknot/internal/emulate"
 	"whinknot/internal/emulate/chart"
+	"whinknot/internal/operator"
 )
 
 // errBroken is the end of a command whose runs broke a rule.
@@ -68,7 +69,7 @@
 func (p *playing) load(cmd *cobra.Command, path string, more ...string) (*emulate.Scenario, error) {
 	sc, err := emulate.Load(path, append(append([]string{}, p.sets...), more...)...)
 	if err != nil {
-		return nil, tellErrors(cmd, path, err)
+		return nil, operator.Tell(cmd.ErrOrStderr(), path, err)
 	}
 	if sc.Name == "" {
 		sc.Name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
--- a/cmd/milletemu/main.go
+++ b/cmd/milletemu/main.go
@@ -3,13 +3,10 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
-
-	"whinknot/internal/operator"
 )
 
 func main() {
@@ -31,13 +28,3 @@
 	root.AddCommand(runCommand(), compareCommand(), plotCommand(), planCommand())
 	return root
 }
-
-// tellErrors puts all that is wrong in a file on standard error, and gives an error that counts them.
-func tellErrors(cmd *cobra.Command, path string, err error) error {
-	var all operator.Errors
-	if errors.As(err, &all) {
-		fmt.Fprintln(cmd.ErrOrStderr(), all)
-		return fmt.Errorf("%s: errors: %d", path, len(all))
-	}
-	return err
-}
--- a/cmd/milletemu/plan.go
+++ b/cmd/milletemu/plan.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"whinknot/internal/operator"
 	"whinknot/internal/plan"
 )
 
@@ -28,7 +29,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			p, err := plan.Load(args[0])
 			if err != nil {
-				return tellErrors(cmd, args[0], err)
+				return operator.Tell(cmd.ErrOrStderr(), args[0], err)
 			}
 			if atOnce < 1 {
 				return fmt.Errorf("--at-once %d: nothing would be played", atOnce)
--- a/cmd/milletmast/command.go
+++ b/cmd/milletmast/command.go
@@ -65,17 +65,7 @@
 // loadFile reads an operator file; what is wrong in it goes to standard error, a line each.
 func loadFile(cmd *cobra.Command, path string) (*operator.Config, error) {
 	cfg, err := operator.Load(path)
-	return cfg, tellErrors(cmd, path, err)
-}
-
-// tellErrors puts all that is wrong in a file on standard error, and gives an error that counts them.
-func tellErrors(cmd *cobra.Command, path string, err error) error {
-	var all operator.Errors
-	if errors.As(err, &all) {
-		fmt.Fprintln(cmd.ErrOrStderr(), all)
-		return fmt.Errorf("%s: errors: %d", path, len(all))
-	}
-	return err
+	return cfg, operator.Tell(cmd.ErrOrStderr(), path, err)
 }
 
 func routeCommand() *cobra.Command {
--- a/internal/emulate/compare.go
+++ b/internal/emulate/compare.go
@@ -73,7 +73,7 @@
 type Metric struct {
 	Name   string
 	Unit   string
-	Better int // 1 where more is better, -1 where less is, 0 where neither
+	Better int // 1 where more is better, -1 where less is
 	Of     func(*Result) float64
 }
 
@@ -133,7 +133,7 @@
 	Low     float64 `json:"low"` // of the interval that holds the mean difference with 95% confidence
 	High    float64 `json:"high"`
 	Seeds   int     `json:"seeds"`
-	Verdict string  `json:"verdict"` // better, worse, more, less, or not told apart
+	Verdict string  `json:"verdict"` // better, worse or not told apart
 }
 
 // notTold is the verdict where the interval holds 0: the seeds do not tell the variants apart.
@@ -188,10 +188,6 @@
 	switch {
 	case low <= 0 && high >= 0:
 		return notTold
-	case better == 0 && low > 0:
-		return "more"
-	case better == 0:
-		return "less"
 	case (low > 0) == (better > 0):
 		return "better"
 	}
--- a/internal/emulate/host.go
+++ b/internal/emulate/host.go
@@ -30,6 +30,7 @@
 type decider interface {
 	Handle(now float64, ev *whinknot.Event, actions []whinknot.Action) []whinknot.Action
 	Cuts() int
+	Export() whinknot.Memory
 }
 
 // host is one sidecar: the real decision module, and what it needs from its surroundings.
@@ -55,10 +56,8 @@
 	hearing  bool                            // word of further ones is under way
 	usable   int
 	held     hold.Set
-	keeper   *subset.Keeper // nil where it sends to all
-	levels   *levels        // nil for none
-	open     int
-	keepNow  func()          // nil for never
+	keeper   *subset.Keeper  // nil where it sends to all
+	levels   *levels         // nil for none
 	kept     whinknot.Memory // what is kept for its next start
 }
 
@@ -110,7 +109,7 @@
 	w := h.w
 	h.life++
 	h.up, h.draining, h.stalled = true, false, 0
-	h.calls, h.order, h.lastID, h.open = map[uint32]*call{}, nil, 0, 0
+	h.calls, h.order, h.lastID = map[uint32]*call{}, nil, 0
 	h.links, h.known, h.usable = map[uint32]*link{}, map[uint32]whinknot.ServerEntry{}, 0
 	set := w.sc.Pool.Settings()
 	set.Copies, set.Rank, set.Zone = w.sc.Copies.Count, h.rank, h.zone
@@ -121,19 +120,14 @@
 		w.fail(err)
 		return
 	}
-	if memory, age := learned.At(h.kept, w.now()); h.life > 1 && w.sc.Copies.Keep > 0 && age >= 0 {
-		b.Import(memory)
-	}
+	h.balancer = b
 	if every := w.sc.Copies.Keep.MS(); every > 0 {
-		var keep func()
-		keep = func() {
-			h.kept = b.Export()
-			h.later(every, keep)
+		if h.life > 1 {
+			memory, _ := learned.At(h.kept, w.now())
+			b.Import(memory)
 		}
-		h.later(every*w.random.part(drawNews, uint64(h.rank), h.life<<32), keep)
-		h.keepNow = func() { h.kept = b.Export() }
+		h.later(every*w.random.part(drawNews, uint64(h.rank), h.life<<32), h.keep)
 	}
-	h.balancer = b
 	if w.wrap != nil {
 		h.balancer = w.wrap(h, b)
 	}
@@ -164,6 +158,12 @@
 	}
 }
 
+// keep keeps what the copy has learned, again and again.
+func (h *host) keep() {
+	h.kept = h.balancer.Export()
+	h.later(h.w.sc.Copies.Keep.MS(), h.keep)
+}
+
 // later has something done by this life of the copy; while it is stalled it waits.
 func (h *host) later(ms float64, do func()) {
 	life := h.life
@@ -241,7 +241,6 @@
 	c.event = whinknot.Event{Kind: whinknot.EvRequest, Request: h.lastID, Class: uint16(q.class), Due: c.came + c.wait}
 	h.calls[h.lastID] = c
 	h.order = append(h.order, c)
-	h.open++
 	q.call = c
 	w.fact(&rules.Fact{Kind: rules.Taken, Copy: h.number(), Request: c.id, Class: uint16(q.class), Due: c.came + giveUp})
 	h.admit(c)
@@ -455,7 +454,6 @@
 func (h *host) release(c *call) {
 	if c.ended && c.open == 0 && h.calls[c.event.Request] == c {
 		delete(h.calls, c.event.Request)
-		h.open--
 	}
 }
 
@@ -516,8 +514,8 @@
 		}
 	})
 	h.later(longest, h.die)
-	if h.keepNow != nil {
-		h.keepNow()
+	if h.w.sc.Copies.Keep > 0 {
+		h.kept = h.balancer.Export()
 	}
 }
 
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -6,8 +6,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -210,15 +208,10 @@
 
 // Load reads a scenario, with some of its figures set anew: "copies.count=20" (see Override).
 func Load(path string, overrides ...string) (*Scenario, error) {
-	f, err := os.Open(path)
+	text, err := operator.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxScenario+1))
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
 	return Parse(path, text, overrides...)
 }
 
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -161,12 +161,12 @@
 	}
 	Under(c.folder, &l.Certificate)
 	Under(c.folder, &l.Key)
-	certificate, err := read(l.Certificate)
+	certificate, err := ReadFile(l.Certificate)
 	if err != nil {
 		c.complain(path+".certificate", err)
 		return
 	}
-	key, err := read(l.Key)
+	key, err := ReadFile(l.Key)
 	if err != nil {
 		c.complain(path+".key", err)
 		return
--- a/internal/operator/load.go
+++ b/internal/operator/load.go
@@ -54,6 +54,16 @@
 	return strings.Join(lines, "\n")
 }
 
+// Tell writes all that is wrong in a file, a line each, and gives an error that counts them. Any other error is given as it is.
+func Tell(w io.Writer, path string, err error) error {
+	var all Errors
+	if errors.As(err, &all) {
+		fmt.Fprintln(w, all)
+		return fmt.Errorf("%s: errors: %d", path, len(all))
+	}
+	return err
+}
+
 // Config is a file that has been checked, with its routes compiled.
 type Config struct {
 	File
@@ -83,15 +93,15 @@
 
 // Load reads and checks a file. The error is Errors where the file could be read at all.
 func Load(path string) (*Config, error) {
-	text, err := read(path)
+	text, err := ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
 	return Parse(path, text)
 }
 
-// read reads a file of bounded size.
-func read(path string) ([]byte, error) {
+// ReadFile reads a regular file of at most MaxFile.
+func ReadFile(path string) ([]byte, error) {
 	if info, err := os.Stat(path); err != nil {
 		return nil, err
 	} else if !info.Mode().IsRegular() { // a pipe could keep us waiting, a device never end
@@ -149,7 +159,7 @@
 }
 
 func loadServers(path string, zones []string) ([]Server, []byte, error) {
-	text, err := read(path)
+	text, err := ReadFile(path)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -171,7 +181,7 @@
 // Decode reads another file of the program's as strictly: into a struct with toml tags, with all that is wrong told by line
 // and field. Check goes over what was read and complains of fields by their path; it may be nil.
 func Decode(path string, to any, check func(complain func(field, text string))) error {
-	text, err := read(path)
+	text, err := ReadFile(path)
 	if err != nil {
 		return err
 	}
--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -46,21 +46,17 @@
 const magic = "milletmast state"
 
 // envelope is a file's head, beside its checksum.
-type envelope struct {
-	Schema   int             `json:"schema"`
-	Instance string          `json:"instance"`
-	Body     json.RawMessage `json:"body"`
+type envelope[T any] struct {
+	Schema   int    `json:"schema"`
+	Instance string `json:"instance"`
+	Body     T      `json:"body"`
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // encode is a file: a line with the checksum of the rest, and that as JSON.
 func encode(v any, instance string) ([]byte, error) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		return nil, err
-	}
-	text, err := json.Marshal(envelope{schema, instance, body})
+	text, err := json.Marshal(envelope[any]{schema, instance, v})
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +75,7 @@
 	if want := fmt.Sprintf("%s %08x", magic, crc32.Checksum(text, castagnoli)); string(head) != want {
 		return "", fmt.Errorf("%w: its checksum is another", ErrDamaged)
 	}
-	var e envelope
+	var e envelope[json.RawMessage]
 	if err := json.Unmarshal(text, &e); err != nil {
 		return "", fmt.Errorf("%w: %w", ErrDamaged, err)
 	}
