--- /dev/null
+++ b/cmd/keeper/main.go
@@ -0,0 +1,37 @@
+// Command keeper is the store of configuration, on core machines, with the disk.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/rs/zerolog"
+
+	"whinknot/internal/berth"
+	"whinknot/internal/keeper"
+	"whinknot/internal/shore"
+)
+
+func main() {
+	ctx, cancel := shore.UntilTold()
+	defer cancel()
+	root := shore.Commands("keeper", func(ctx context.Context, s *berth.Settings, log zerolog.Logger) error {
+		p, err := keeper.New(s, log)
+		if err != nil {
+			return err
+		}
+		go shore.Follow(ctx, s, log, p.Changed)
+		return p.Run(ctx)
+	})
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
+		if !errors.Is(err, ff.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "keeper:", err)
+			os.Exit(1)
+		}
+		fmt.Fprintln(os.Stderr, ffhelp.Command(root.GetSelected()))
+	}
+}
--- /dev/null
+++ b/cmd/pilot/main.go
@@ -0,0 +1,37 @@
+// Command pilot is the proxy: one beside every endpoint. It carries the traffic.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/rs/zerolog"
+
+	"whinknot/internal/berth"
+	"whinknot/internal/pilot"
+	"whinknot/internal/shore"
+)
+
+func main() {
+	ctx, cancel := shore.UntilTold()
+	defer cancel()
+	root := shore.Commands("pilot", func(ctx context.Context, s *berth.Settings, log zerolog.Logger) error {
+		p, err := pilot.New(s, log)
+		if err != nil {
+			return err
+		}
+		go shore.Follow(ctx, s, log, p.Changed)
+		return p.Run(ctx)
+	})
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
+		if !errors.Is(err, ff.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "pilot:", err)
+			os.Exit(1)
+		}
+		fmt.Fprintln(os.Stderr, ffhelp.Command(root.GetSelected()))
+	}
+}
--- /dev/null
+++ b/internal/chart/wire.go
@@ -0,0 +1,40 @@
+package chart
+
+//go:generate easyjson -no_std_marshalers wire.go
+
+import "github.com/mailru/easyjson"
+
+// document is a configuration as operators send it.
+//
+//easyjson:json
+type document struct {
+	Epoch    string  `json:"epoch"`
+	Routes   table   `json:"routes"`
+	Services table   `json:"services"`
+	Limits   *limits `json:"limits"`
+}
+
+// table is a list of records: the names of their fields, and their values in that order.
+//
+//easyjson:json
+type table struct {
+	Attributes []string                `json:"attributes"`
+	Tuples     [][]easyjson.RawMessage `json:"tuples"`
+}
+
+//easyjson:json
+type limits struct {
+	MaxHeaderBytes int64   `json:"max_header_bytes"`
+	MaxBodyBytes   int64   `json:"max_body_bytes"`
+	HeaderTimeout  float64 `json:"header_timeout_s"`
+	IdleTimeout    float64 `json:"idle_timeout_s"`
+}
+
+//easyjson:json
+type weighted struct {
+	Target string  `json:"target"`
+	Weight float64 `json:"weight"`
+}
+
+//easyjson:json
+type split []weighted
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,517 @@
+// Package keeper is the store of configuration: one process on each core machine, with the disk. What operators order is
+// written at one disk, offered to all, and acknowledged once a majority of the disks that count holds it (package tide).
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"whinknot/internal/berth"
+	"whinknot/internal/logbook"
+	"whinknot/internal/shore"
+	"whinknot/internal/signal"
+	"whinknot/internal/tide"
+)
+
+var space = errorx.NewNamespace("keeper")
+
+// Start is the type of errors that keep a keeper from starting.
+var Start = space.NewType("start")
+
+const (
+	pulse      = 300 * time.Millisecond  // between two looks at each other keeper
+	silence    = 1500 * time.Millisecond // after which a connection counts as dead
+	askTime    = 800 * time.Millisecond  // for one round of asking
+	orderTime  = 3 * time.Second         // for an order, over rounds
+	roundPause = 30 * time.Millisecond   // between two rounds
+	configKey  = "config"
+	evacPrefix = "evacuation/"
+	diskRecord = "disk"
+	setRecord  = "set"
+)
+
+// Keeper is one running store. Its state belongs to the goroutine of loop.
+type Keeper struct {
+	s    *berth.Settings
+	log  zerolog.Logger
+	book *logbook.Book
+	mail chan func()
+	over chan struct{}
+
+	me       tide.Member
+	set      tide.Set
+	copy     *tide.Copy
+	settled  map[string]tide.Stamp // by key, the newest version that a majority is known to hold
+	peers    map[string]*peer      // by address
+	boats    map[*boat]bool        // lighthouses
+	lastTold *InForce
+	duty     duty
+	running  sync.WaitGroup
+	listener net.Listener
+	ctx      context.Context
+	conns    map[*signal.Conn]bool
+	connsMu  sync.Mutex
+}
+
+// peer is another keeper, as this one sees it.
+type peer struct {
+	addr   string
+	member tide.Member
+	conn   *signal.Conn
+	heard  time.Time
+	met    time.Time // first heard of, or not reached since
+	asks   map[uint64]func(*Tell)
+	lastID uint64
+	set    uint64 // number of the set that it goes by
+	end    chan struct{}
+}
+
+// boat is a lighthouse that is connected.
+type boat struct {
+	conn *signal.Conn
+	out  chan *Word
+}
+
+// Address is where the keeper of a machine listens, for its own kind and for lighthouses.
+func Address(ip string, s *berth.Settings) string {
+	return net.JoinHostPort(ip, fmt.Sprint(s.Port(shore.KeeperPort)))
+}
+
+// New opens the disk and the port.
+func New(s *berth.Settings, log zerolog.Logger) (*Keeper, error) {
+	if s.StateDir == "" {
+		return nil, Start.New("%s: state_dir: is missing; a keeper needs a disk", s.Path)
+	}
+	book, spoilt, err := logbook.Open(s.StateDir)
+	if err != nil {
+		return nil, Start.Wrap(err, "logbook")
+	}
+	if spoilt != nil {
+		log.Error().Err(spoilt).Msg("disk counts as lost")
+	}
+	k := &Keeper{
+		s: s, log: log, book: book, mail: make(chan func(), 256), over: make(chan struct{}), settled: map[string]tide.Stamp{},
+		peers: map[string]*peer{}, boats: map[*boat]bool{}, conns: map[*signal.Conn]bool{},
+	}
+	if err := k.recall(); err != nil {
+		book.Close()
+		return nil, err
+	}
+	if k.listener, err = net.Listen("tcp", Address(s.IP, s)); err != nil {
+		book.Close()
+		return nil, Start.Wrap(err, "listen")
+	}
+	return k, nil
+}
+
+// recall reads what the disk holds, and gives an empty one its name.
+func (k *Keeper) recall() error {
+	held, err := k.book.Held()
+	if err != nil {
+		return Start.Wrap(err, "entries")
+	}
+	k.copy = tide.NewCopy(held)
+	k.me = tide.Member{Node: k.s.Node, Addr: Address(k.s.IP, k.s), Zone: k.s.Zone}
+	known, err := k.book.Get(diskRecord, &k.me.Disk)
+	if err == nil {
+		_, err = k.book.Get(setRecord, &k.set)
+	}
+	if err == nil {
+		err = k.recallDuty()
+	}
+	if err != nil {
+		return Start.Wrap(err, "records")
+	}
+	if !known {
+		k.me.Disk = fmt.Sprintf("%s#%016x", k.s.IP, rand.Uint64())
+		if k.s.Bootstrap {
+			k.found()
+		}
+		if err := k.book.Put(diskRecord, k.me.Disk); err != nil {
+			return Start.Wrap(err, "name of the disk")
+		}
+		if k.set.Number > 0 {
+			if err := k.book.Put(setRecord, k.set); err != nil {
+				return Start.Wrap(err, "set of disks")
+			}
+		}
+	}
+	k.log.Info().Str("disk", k.me.Disk).Bool("empty", !known).Uint64("set", k.set.Number).Int("entries", len(held)).Msg("disk opened")
+	return nil
+}
+
+// found makes the first set: the machines that all processes are told of at the very first start. Their disks have names
+// that all know then, and that no disk is ever given again.
+func (k *Keeper) found() {
+	first := tide.Set{Number: 1}
+	for _, seed := range slices.Sorted(slices.Values(k.s.Seeds)) {
+		ip, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			continue
+		}
+		if ip == k.s.IP {
+			k.me.Disk = ip + "#first"
+		}
+		first.Members = append(first.Members, tide.Member{Disk: ip + "#first", Addr: Address(ip, k.s)})
+	}
+	k.set = first
+}
+
+// Run serves until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	k.ctx = inner
+	k.running.Go(k.accept)
+	k.running.Go(k.loop)
+	k.post(func() { k.meetSeeds(); k.tick() })
+	<-ctx.Done()
+	k.log.Info().Msg("ending")
+	k.resign()
+	stop()
+	k.listener.Close()
+	k.connsMu.Lock()
+	for c := range k.conns {
+		c.Close()
+	}
+	k.connsMu.Unlock()
+	k.running.Wait()
+	return k.book.Close()
+}
+
+// Changed takes settings that were read again.
+func (k *Keeper) Changed(s *berth.Settings) {
+	k.post(func() { k.s = s; k.meetSeeds() })
+}
+
+func (k *Keeper) loop() {
+	defer close(k.over)
+	tick := time.NewTicker(pulse)
+	defer tick.Stop()
+	for {
+		select {
+		case <-k.ctx.Done():
+			for _, p := range k.peers {
+				p.hangUp()
+			}
+			return
+		case f := <-k.mail:
+			f()
+		case <-tick.C:
+			k.tick()
+		}
+	}
+}
+
+// post has the loop run f, unless it is over.
+func (k *Keeper) post(f func()) {
+	select {
+	case k.mail <- f:
+	case <-k.over:
+	}
+}
+
+// hold remembers a connection, to close it at the end; false once that has come.
+func (k *Keeper) hold(c *signal.Conn) bool {
+	k.connsMu.Lock()
+	defer k.connsMu.Unlock()
+	if k.ctx.Err() != nil {
+		c.Close()
+		return false
+	}
+	k.conns[c] = true
+	return true
+}
+
+func (k *Keeper) drop(c *signal.Conn) {
+	c.Close()
+	k.connsMu.Lock()
+	defer k.connsMu.Unlock()
+	delete(k.conns, c)
+}
+
+// meetSeeds gets to know the keepers beside the machines that the settings name, and those of the set.
+func (k *Keeper) meetSeeds() {
+	for _, seed := range k.s.Seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			k.meet(Address(ip, k.s))
+		}
+	}
+	for _, m := range k.set.Members {
+		k.meet(m.Addr)
+	}
+}
+
+// meet begins to know a keeper.
+func (k *Keeper) meet(addr string) {
+	if addr == "" || addr == k.me.Addr || k.peers[addr] != nil {
+		return
+	}
+	p := &peer{addr: addr, asks: map[uint64]func(*Tell){}, met: time.Now(), end: make(chan struct{})}
+	k.peers[addr] = p
+	k.running.Go(func() { k.follow(p) })
+}
+
+// follow holds a connection to a peer.
+func (k *Keeper) follow(p *peer) {
+	for k.ctx.Err() == nil {
+		conn, err := signal.Dial(p.addr, silence)
+		if err == nil && k.hold(conn) {
+			hello := Hello{Keeper: &k.me}
+			if err = conn.Send(&hello); err == nil {
+				k.post(func() { p.conn = conn; k.look(p) })
+				for err == nil {
+					var t Tell
+					if err = conn.Receive(&t); err == nil {
+						k.post(func() { k.told(p, &t) })
+					}
+				}
+			}
+			k.drop(conn)
+			k.post(func() { k.lost(p, conn) })
+		}
+		select {
+		case <-k.ctx.Done():
+		case <-p.end:
+			return
+		case <-time.After(pulse/2 + rand.N(pulse/2)):
+		}
+	}
+}
+
+func (p *peer) hangUp() {
+	if p.conn != nil {
+		p.conn.Close()
+	}
+}
+
+// lost notes that a connection ended: what was asked over it has no answer.
+func (k *Keeper) lost(p *peer, conn *signal.Conn) {
+	if p.conn != conn {
+		return
+	}
+	p.conn = nil
+	asks := p.asks
+	p.asks = map[uint64]func(*Tell){}
+	for _, id := range slices.Sorted(maps.Keys(asks)) {
+		asks[id](nil)
+	}
+}
+
+// ask asks a peer; then gets the answer, or nil for none.
+func (k *Keeper) ask(p *peer, a Ask, then func(*Tell)) {
+	if p.conn == nil {
+		then(nil)
+		return
+	}
+	p.lastID++
+	a.ID, a.From, a.Set = p.lastID, k.me, k.set
+	id, conn := a.ID, p.conn
+	p.asks[id] = then
+	k.running.Go(func() { conn.Send(&a) })
+	time.AfterFunc(askTime, func() {
+		k.post(func() {
+			if f := p.asks[id]; f != nil {
+				delete(p.asks, id)
+				f(nil)
+			}
+		})
+	})
+}
+
+// told hears the answer to an ask.
+func (k *Keeper) told(p *peer, t *Tell) {
+	p.heard, p.member, p.set = time.Now(), t.From, t.Set.Number
+	k.adopt(&t.Set)
+	if f := p.asks[t.ID]; f != nil {
+		delete(p.asks, t.ID)
+		f(t)
+	}
+}
+
+// alive tells whether a peer answered just now.
+func (p *peer) alive() bool { return p.conn != nil && time.Since(p.heard) < 3*pulse+askTime }
+
+// adopt goes by a set that follows the one gone by so far.
+func (k *Keeper) adopt(s *tide.Set) {
+	if s.Number <= k.set.Number {
+		return
+	}
+	if err := k.book.Put(setRecord, *s); err != nil {
+		k.log.Error().Err(err).Msg("set not kept")
+		return
+	}
+	k.set = *s
+	k.log.Info().Uint64("set", s.Number).Int("disks", len(s.Members)).Msg("set of disks in force")
+	k.meetSeeds()
+}
+
+// tick looks at every peer, and does what is due.
+func (k *Keeper) tick() {
+	for _, p := range k.peers {
+		k.look(p)
+	}
+	k.dutyTick()
+	k.tell()
+}
+
+// look compares with a peer, and mends from it what is newer there.
+func (k *Keeper) look(p *peer) {
+	d := k.copy.Digests()
+	k.ask(p, Ask{Digests: &d, Settled: k.known(), Duty: k.dutySign()}, func(t *Tell) {
+		if t == nil {
+			return
+		}
+		k.dutyHeard(t)
+		k.mend(t.Entries)
+		if len(t.Ranges) > 0 {
+			if mine := k.copy.Within(t.Ranges); len(mine) > 0 {
+				k.ask(p, Ask{Offer: mine}, func(*Tell) {})
+			}
+		}
+	})
+}
+
+// known is what a majority is known to hold.
+func (k *Keeper) known() []Held {
+	var out []Held
+	for _, key := range slices.Sorted(maps.Keys(k.settled)) {
+		out = append(out, Held{key, k.settled[key]})
+	}
+	return out
+}
+
+// settle notes that a majority holds a version.
+func (k *Keeper) settle(key string, s tide.Stamp) {
+	if old, ok := k.settled[key]; !ok || s.Compare(old) > 0 {
+		k.settled[key] = s
+		k.tell()
+	}
+}
+
+// mend takes what is newer than what is held, on disk first.
+func (k *Keeper) mend(entries []tide.Entry) error {
+	var newer []tide.Entry
+	for _, e := range entries {
+		if k.copy.Newer(&e) {
+			newer = append(newer, e)
+		}
+	}
+	if len(newer) == 0 {
+		return nil
+	}
+	if err := k.book.Entries(newer...); err != nil {
+		k.log.Error().Err(err).Msg("not kept")
+		return err
+	}
+	for _, e := range newer {
+		k.copy.Put(e)
+	}
+	k.tell()
+	return nil
+}
+
+// Hello is the first message of a connection to a keeper.
+type Hello struct {
+	Keeper     *tide.Member // of another keeper
+	Lighthouse string       // or the node of a lighthouse
+}
+
+func (k *Keeper) accept() {
+	for {
+		raw, err := k.listener.Accept()
+		if err != nil {
+			if k.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		k.running.Go(func() { k.serve(raw) })
+	}
+}
+
+// serve answers one connection.
+func (k *Keeper) serve(raw net.Conn) {
+	conn, err := signal.New(raw, silence)
+	if err != nil || !k.hold(conn) {
+		return
+	}
+	defer k.drop(conn)
+	var h Hello
+	if err := conn.Receive(&h); err != nil {
+		return
+	}
+	if h.Keeper == nil {
+		k.serveBoat(conn)
+		return
+	}
+	k.post(func() { k.meet(h.Keeper.Addr) })
+	for {
+		var a Ask
+		if err := conn.Receive(&a); err != nil {
+			if errorx.IsOfType(err, signal.Foreign) {
+				k.log.Warn().Err(err).Str("peer", conn.Peer()).Msg("peer cannot be understood")
+			}
+			return
+		}
+		done := make(chan *Tell, 1)
+		k.post(func() { done <- k.answer(&a) })
+		select {
+		case t := <-done:
+			if conn.Send(t) != nil {
+				return
+			}
+		case <-k.over:
+			return
+		}
+	}
+}
+
+// answer answers an ask.
+func (k *Keeper) answer(a *Ask) *Tell {
+	k.adopt(&a.Set)
+	t := &Tell{ID: a.ID, From: k.me, Behind: a.Set.Number < k.set.Number}
+	t.Set = k.set
+	for _, h := range a.Settled {
+		if e, ok := k.copy.Get(h.Key); ok && e.Stamp.Compare(h.Stamp) == 0 {
+			k.settle(h.Key, h.Stamp)
+		}
+	}
+	if len(a.Offer) > 0 {
+		t.Stored = k.mend(a.Offer) == nil
+		for _, e := range a.Offer {
+			held, ok := k.copy.Get(e.Key)
+			if !ok || !held.Same(&e) {
+				t.Stored = false
+			}
+			if ok && held.Stamp.Compare(e.Stamp) >= 0 && !held.Same(&e) {
+				t.Entries = append(t.Entries, held)
+			}
+		}
+	}
+	for _, key := range a.Collect {
+		if e, ok := k.copy.Get(key); ok {
+			t.Entries = append(t.Entries, e)
+		}
+	}
+	if a.All {
+		t.Entries = k.copy.All()
+	}
+	if a.Digests != nil {
+		t.Ranges = tide.Differing(*a.Digests, k.copy.Digests())
+		t.Entries = append(t.Entries, k.copy.Within(t.Ranges)...)
+	}
+	if a.Duty != nil {
+		t.Duty = k.dutyAnswer(a.Duty)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/keeper/talk.go
@@ -0,0 +1,126 @@
+package keeper
+
+import (
+	"bytes"
+	"slices"
+
+	"whinknot/internal/tide"
+)
+
+// Ask is what one keeper asks of another.
+type Ask struct {
+	ID      uint64
+	From    tide.Member
+	Set     tide.Set     // that the asker goes by
+	Settled []Held       // what the asker knows a majority to hold
+	Offer   []tide.Entry // to be held
+	Collect []string     // keys whose entries are asked for
+	All     bool         // every entry is asked for
+	Digests *[tide.Ranges]uint64
+	Duty    *DutyAsk
+}
+
+// Held names one version.
+type Held struct {
+	Key   string
+	Stamp tide.Stamp
+}
+
+// Tell is the answer to an Ask.
+type Tell struct {
+	ID      uint64
+	From    tide.Member
+	Set     tide.Set
+	Behind  bool         // the asker goes by an older set: nothing of this counts
+	Stored  bool         // all that was offered is held as it was
+	Entries []tide.Entry // what was asked for, or what is held instead
+	Ranges  []int        // whose digests differ
+	Duty    *DutyTell
+}
+
+// DutyAsk and DutyTell carry the duty of changing the set of disks.
+type DutyAsk struct {
+	Term     uint64
+	Holder   string    // the disk that has the duty, or wants it
+	Promise  bool      // it wants it
+	Accept   *tide.Set // the next set, of this term
+	Takeover bool      // the one asked is named as the successor
+}
+
+// DutyTell answers it.
+type DutyTell struct {
+	Term     uint64 // the highest that was promised
+	Granted  bool
+	Accepted *tide.Set // accepted for the next number in an earlier term
+	In       uint64    // that term
+}
+
+// Order is what a lighthouse has its keeper do.
+type Order struct {
+	ID   uint64
+	Kind OrderKind
+	Body []byte // of a configuration
+	Zone string
+}
+
+// OrderKind says what is ordered.
+type OrderKind uint8
+
+// The orders.
+const (
+	PutConfig OrderKind = iota + 1
+	ReadConfig
+	BeginEvacuation
+	FinishEvacuation
+	Beat // says nothing
+)
+
+// Result is what became of an order.
+type Result struct {
+	ID     uint64
+	Status Status
+	Why    string
+	Body   []byte
+}
+
+// Status says how an order ended.
+type Status uint8
+
+// The ends of an order.
+const (
+	Done     Status = iota + 1
+	Refused         // it is invalid
+	Conflict        // another content has that number
+	Absent          // there is none yet
+	Unclear         // no majority could be asked: it may be in force or not
+)
+
+// Word is what a keeper says to a lighthouse: a result, and what is in force if that has changed.
+type Word struct {
+	Result  *Result
+	InForce *InForce
+	Core    []tide.Member // the keepers known
+}
+
+// InForce is what operators have ordered, as far as a majority holds it.
+type InForce struct {
+	Config      []byte // empty for none yet
+	Version     uint64
+	Evacuations []Evacuation // by zone
+	Settled     bool         // a majority is in sight
+}
+
+// Evacuation is the newest order about a zone.
+type Evacuation struct {
+	Zone  string
+	Stamp tide.Stamp
+	On    bool
+}
+
+// Same tells whether the same is in force.
+func (f *InForce) Same(o *InForce) bool {
+	if f == nil || o == nil {
+		return f == o
+	}
+	return f.Version == o.Version && f.Settled == o.Settled && bytes.Equal(f.Config, o.Config) && slices.Equal(f.Evacuations, o.Evacuations)
+}
--- /dev/null
+++ b/internal/lamp/lamp.go
@@ -0,0 +1,190 @@
+// Package lamp is how news reaches pilots: numbered changes down held connections, a whole picture first, acknowledged and
+// counted. What a pilot holds never goes back: of a node the newer sheet stays, of the configuration the higher version, of
+// a zone the higher stamp. It is pure.
+package lamp
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"whinknot/internal/beacon"
+	"whinknot/internal/keeper"
+)
+
+// Hello is the first message of a connection to a lighthouse.
+type Hello struct {
+	Pilot      string // the node of a pilot
+	Lighthouse string // or of another lighthouse
+}
+
+// Up is what a pilot says.
+type Up struct {
+	Sheet *beacon.Sheet // if it has changed
+	Ack   uint64        // the number of the last change it goes by
+}
+
+// Down is what a lighthouse says to a pilot. Without a number it only says that it is there.
+type Down struct {
+	Number  uint64
+	Whole   bool // Nodes are all that there are
+	Nodes   []beacon.Known
+	Gone    []string // nodes forgotten
+	InForce *keeper.InForce
+	Core    []string // machines of the core, by address
+	Sighted bool     // this lighthouse sees most of the core: what it calls dark is dark
+}
+
+// Across is what lighthouses say to each other.
+type Across struct {
+	Sheets []beacon.Sheet
+	Vouch  []Vouch  // for pilots that hold a connection to this one
+	Core   []string // machines of the core that this one knows
+}
+
+// Vouch names a life of a pilot.
+type Vouch struct {
+	Node string
+	Life uint64
+}
+
+// Chartroom is what one pilot holds of the news of several lighthouses. It is not safe for concurrent use.
+type Chartroom struct {
+	views   map[string]map[string]beacon.Known // by lighthouse, by node
+	sighted map[string]bool
+	nodes   map[string]*entry
+	config  []byte
+	version uint64
+	zones   map[string]keeper.Evacuation
+	keep    time.Duration
+}
+
+type entry struct {
+	beacon.Known
+	missing time.Time // since when no view has it; zero if one has
+}
+
+// NewChartroom makes an empty one. A node that no lighthouse names any more is kept for a time: one that has just started
+// does not know all yet.
+func NewChartroom(keep time.Duration) *Chartroom {
+	return &Chartroom{
+		views: map[string]map[string]beacon.Known{}, sighted: map[string]bool{}, nodes: map[string]*entry{},
+		zones: map[string]keeper.Evacuation{}, keep: keep,
+	}
+}
+
+// Change tells what a piece of news has changed.
+type Change struct{ Nodes, Config, Zones bool }
+
+// Hear takes news of a lighthouse.
+func (c *Chartroom) Hear(now time.Time, from string, d *Down) (ch Change) {
+	view := c.views[from]
+	if view == nil || d.Whole {
+		view = map[string]beacon.Known{}
+		c.views[from] = view
+	}
+	c.sighted[from] = d.Sighted
+	for _, n := range d.Nodes {
+		view[n.Node] = n
+	}
+	for _, node := range d.Gone {
+		delete(view, node)
+	}
+	ch.Nodes = c.Merge(now)
+	if d.InForce != nil {
+		more := c.Ordered(d.InForce)
+		ch.Config, ch.Zones = more.Config, more.Zones
+	}
+	return ch
+}
+
+// Ordered takes what is in force, as far as it is newer.
+func (c *Chartroom) Ordered(f *keeper.InForce) (ch Change) {
+	if len(f.Config) > 0 && f.Version > c.version {
+		c.config, c.version, ch.Config = f.Config, f.Version, true
+	}
+	for _, e := range f.Evacuations {
+		if old, ok := c.zones[e.Zone]; !ok || e.Stamp.Compare(old.Stamp) > 0 {
+			c.zones[e.Zone] = e
+			ch.Zones = ch.Zones || e.On != old.On
+		}
+	}
+	return ch
+}
+
+// Lose forgets what a lighthouse has told, as the connection to it ended; the last one's word stays.
+func (c *Chartroom) Lose(now time.Time, from string) bool {
+	if len(c.views) > 1 {
+		delete(c.views, from)
+		delete(c.sighted, from)
+	}
+	return c.Merge(now)
+}
+
+// Merge makes one picture of all views and tells whether it has changed. A node is dark if all that know its newest life and
+// see the core say so.
+func (c *Chartroom) Merge(now time.Time) (changed bool) {
+	best := map[string]beacon.Known{}
+	for from, view := range c.views {
+		for node, k := range view {
+			k.Dark = k.Dark && c.sighted[from]
+			old, ok := best[node]
+			switch {
+			case !ok || k.Newer(&old.Sheet):
+				best[node] = k
+			case !old.Newer(&k.Sheet) && !k.Dark:
+				old.Dark = false
+				best[node] = old
+			}
+		}
+	}
+	for node, k := range best {
+		e := c.nodes[node]
+		if e == nil {
+			c.nodes[node] = &entry{Known: k}
+			changed = true
+			continue
+		}
+		e.missing = time.Time{}
+		if k.Newer(&e.Sheet) || k.Dark != e.Dark && !e.Newer(&k.Sheet) {
+			e.Known = k
+			changed = true
+		}
+	}
+	for node, e := range c.nodes {
+		if _, ok := best[node]; ok {
+			continue
+		}
+		if e.missing.IsZero() {
+			e.missing = now
+		} else if now.Sub(e.missing) > c.keep {
+			delete(c.nodes, node)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Nodes is the picture, by name.
+func (c *Chartroom) Nodes() []beacon.Known {
+	out := make([]beacon.Known, 0, len(c.nodes))
+	for _, node := range slices.Sorted(maps.Keys(c.nodes)) {
+		out = append(out, c.nodes[node].Known)
+	}
+	return out
+}
+
+// Config is the configuration held, and its version; 0 for none.
+func (c *Chartroom) Config() ([]byte, uint64) { return c.config, c.version }
+
+// Evacuated tells whether a zone is to get nothing.
+func (c *Chartroom) Evacuated(zone string) bool { return c.zones[zone].On }
+
+// InForce is what was ordered, as held.
+func (c *Chartroom) InForce() *keeper.InForce {
+	f := &keeper.InForce{Config: c.config, Version: c.version}
+	for _, zone := range slices.Sorted(maps.Keys(c.zones)) {
+		f.Evacuations = append(f.Evacuations, c.zones[zone])
+	}
+	return f
+}
--- /dev/null
+++ b/internal/lighthouse/lighthouse.go
@@ -0,0 +1,571 @@
+// Package lighthouse is the registry: one process on each core machine. It holds connections to pilots, learns from them
+// who is there, pushes numbered changes to them, and takes the outside calls for itself and for the keepers.
+package lighthouse
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"whinknot/internal/beacon"
+	"whinknot/internal/berth"
+	"whinknot/internal/keeper"
+	"whinknot/internal/lamp"
+	"whinknot/internal/orders"
+	"whinknot/internal/shore"
+	"whinknot/internal/signal"
+)
+
+var space = errorx.NewNamespace("lighthouse")
+
+// Start is the type of errors that keep a lighthouse from starting.
+var Start = space.NewType("start")
+
+const (
+	pulse      = 500 * time.Millisecond  // between two words to each pilot and lighthouse
+	silence    = 1800 * time.Millisecond // after which a connection counts as dead
+	darkAfter  = 2 * time.Second         // a pilot that nobody has heard of
+	forget     = 30 * time.Second
+	batch      = 10 * time.Millisecond  // changes of so long are pushed together
+	ackWait    = 250 * time.Millisecond // an order waits so long at most for pilots to say that they go by it
+	finishTime = 2 * time.Second        // for calls under way at the end
+	queue      = 256                    // words to one peer that it has not taken
+)
+
+// Lighthouse is one running registry. Its state belongs to the goroutine of loop.
+type Lighthouse struct {
+	s    *berth.Settings
+	log  zerolog.Logger
+	mail chan func()
+	over chan struct{}
+
+	registry *beacon.Registry
+	pilots   map[*link]bool
+	sisters  map[string]*link // by the address of their machine; nil while there is no connection
+	core     map[string]time.Time
+	store    *store
+	inForce  *keeper.InForce
+	changed  map[string]bool // nodes to be pushed
+	across   map[string]bool // nodes to be told to other lighthouses
+	pushing  bool
+	waits    []*wait
+
+	running sync.WaitGroup
+	inside  net.Listener
+	outside net.Listener
+	ctx     context.Context
+	connsMu sync.Mutex
+	conns   map[*signal.Conn]bool
+}
+
+// link is a connection to a pilot or to another lighthouse.
+type link struct {
+	conn   *signal.Conn
+	out    chan any
+	node   string
+	life   uint64
+	pushed uint64 // number of the last change
+	acked  uint64
+	last   time.Time // something was sent
+	sight  bool      // as last told
+	order  uint64    // version of the last configuration told
+}
+
+// wait is an order that waits for pilots.
+type wait struct {
+	until map[*link]uint64
+	then  func()
+}
+
+// Address is where the lighthouse of a machine listens for pilots and for its own kind.
+func Address(ip string, s *berth.Settings) string {
+	return net.JoinHostPort(ip, fmt.Sprint(s.Port(shore.LighthousePort)))
+}
+
+// New opens the ports.
+func New(s *berth.Settings, log zerolog.Logger) (*Lighthouse, error) {
+	if s.Control == "" {
+		return nil, Start.New("%s: bind.control: is missing; a lighthouse takes the outside calls", s.Path)
+	}
+	l := &Lighthouse{
+		s: s, log: log, mail: make(chan func(), 512), over: make(chan struct{}),
+		registry: beacon.NewRegistry(beacon.Limits{Dark: darkAfter, Forget: forget}),
+		pilots:   map[*link]bool{}, sisters: map[string]*link{}, core: map[string]time.Time{}, changed: map[string]bool{},
+		across: map[string]bool{}, conns: map[*signal.Conn]bool{},
+	}
+	var err error
+	if l.inside, err = net.Listen("tcp", Address(s.IP, s)); err != nil {
+		return nil, Start.Wrap(err, "listen")
+	}
+	if l.outside, err = net.Listen("tcp", s.Control); err != nil {
+		l.inside.Close()
+		return nil, Start.Wrap(err, "listen")
+	}
+	return l, nil
+}
+
+// Run serves until ctx ends.
+func (l *Lighthouse) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer l.running.Wait()
+	defer stop()
+	l.ctx = inner
+	l.running.Go(l.loop)
+	l.running.Go(l.accept)
+	l.store = newStore(l)
+	l.running.Go(l.store.follow)
+	l.post(l.meetSeeds)
+	server := &http.Server{Handler: orders.NewHandler(l.run)}
+	err := orders.Serve(ctx, server, func() error { return server.Serve(l.outside) }, finishTime)
+	l.log.Info().Msg("ending")
+	stop()
+	l.inside.Close()
+	l.connsMu.Lock()
+	for c := range l.conns {
+		c.Close()
+	}
+	l.connsMu.Unlock()
+	if err != nil && ctx.Err() == nil {
+		return Start.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// Changed takes settings that were read again.
+func (l *Lighthouse) Changed(s *berth.Settings) {
+	l.post(func() { l.s = s; l.meetSeeds() })
+}
+
+func (l *Lighthouse) loop() {
+	defer close(l.over)
+	tick := time.NewTicker(pulse)
+	defer tick.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case f := <-l.mail:
+			f()
+		case <-tick.C:
+			l.tick()
+		}
+	}
+}
+
+// post has the loop run f, unless it is over.
+func (l *Lighthouse) post(f func()) {
+	select {
+	case l.mail <- f:
+	case <-l.over:
+	}
+}
+
+// hold remembers a connection, to close it at the end; false once that has come.
+func (l *Lighthouse) hold(c *signal.Conn) bool {
+	l.connsMu.Lock()
+	defer l.connsMu.Unlock()
+	if l.ctx.Err() != nil {
+		c.Close()
+		return false
+	}
+	l.conns[c] = true
+	return true
+}
+
+func (l *Lighthouse) drop(c *signal.Conn) {
+	c.Close()
+	l.connsMu.Lock()
+	defer l.connsMu.Unlock()
+	delete(l.conns, c)
+}
+
+func (l *Lighthouse) meetSeeds() {
+	for _, seed := range l.s.Seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			l.meet(ip)
+		}
+	}
+}
+
+// meet gets to know a machine of the core, and holds a connection to its lighthouse from now on.
+func (l *Lighthouse) meet(ip string) {
+	if ip == l.s.IP || ip == "" {
+		return
+	}
+	if _, known := l.sisters[ip]; known {
+		return
+	}
+	l.sisters[ip], l.core[ip] = nil, time.Now()
+	l.running.Go(func() { l.follow(ip) })
+}
+
+// follow holds a connection to another lighthouse: what it says is heard over the one that it holds to this one.
+func (l *Lighthouse) follow(ip string) {
+	for l.ctx.Err() == nil {
+		conn, err := signal.Dial(Address(ip, l.s), silence)
+		if err == nil && l.hold(conn) {
+			k := &link{conn: conn, out: make(chan any, queue), node: ip}
+			if conn.Send(&lamp.Hello{Lighthouse: l.s.IP}) == nil {
+				l.post(func() {
+					l.sisters[ip], l.core[ip] = k, time.Now()
+					l.say(k, l.wholeAcross())
+				})
+				l.running.Go(func() { l.write(k) })
+				var up lamp.Up
+				for conn.Receive(&up) == nil { // only to hear that it is there
+				}
+			}
+			l.drop(conn)
+			l.post(func() {
+				if l.sisters[ip] == k {
+					l.sisters[ip] = nil
+				}
+				close(k.out)
+			})
+		}
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(pulse):
+		}
+	}
+}
+
+// write sends what a link is to be told.
+func (l *Lighthouse) write(k *link) {
+	for m := range k.out {
+		if k.conn.Send(m) != nil {
+			k.conn.Close()
+			for range k.out {
+			}
+			return
+		}
+	}
+}
+
+// say tells a link; one that does not take it is cut off, and comes again.
+func (l *Lighthouse) say(k *link, m any) {
+	select {
+	case k.out <- m:
+		k.last = time.Now()
+	default:
+		k.conn.Close()
+	}
+}
+
+func (l *Lighthouse) accept() {
+	for {
+		raw, err := l.inside.Accept()
+		if err != nil {
+			if l.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		l.running.Go(func() { l.serve(raw) })
+	}
+}
+
+// serve hears one connection of a pilot or of another lighthouse.
+func (l *Lighthouse) serve(raw net.Conn) {
+	conn, err := signal.New(raw, silence)
+	if err != nil || !l.hold(conn) {
+		return
+	}
+	defer l.drop(conn)
+	var h lamp.Hello
+	if conn.Receive(&h) != nil {
+		return
+	}
+	if h.Lighthouse != "" {
+		l.serveSister(conn, h.Lighthouse)
+		return
+	}
+	k := &link{conn: conn, out: make(chan any, queue), node: h.Pilot}
+	l.running.Go(func() { l.write(k) })
+	l.post(func() {
+		l.pilots[k] = true
+		l.push(k, l.wholePicture())
+	})
+	for {
+		var up lamp.Up
+		if err := conn.Receive(&up); err != nil {
+			if errorx.IsOfType(err, signal.Foreign) {
+				l.log.Warn().Err(err).Str("peer", conn.Peer()).Msg("peer cannot be understood")
+			}
+			break
+		}
+		l.post(func() { l.heard(k, &up) })
+	}
+	l.post(func() {
+		delete(l.pilots, k)
+		close(k.out)
+		l.acks(k)
+	})
+}
+
+// serveSister hears another lighthouse.
+func (l *Lighthouse) serveSister(conn *signal.Conn, ip string) {
+	l.post(func() { l.meet(ip) })
+	alive := time.NewTicker(pulse)
+	defer alive.Stop()
+	done := make(chan struct{})
+	defer close(done)
+	l.running.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-alive.C:
+				if conn.Send(&lamp.Up{}) != nil {
+					return
+				}
+			}
+		}
+	})
+	for {
+		var a lamp.Across
+		if conn.Receive(&a) != nil {
+			return
+		}
+		l.post(func() { l.heardAcross(ip, &a) })
+	}
+}
+
+// heard takes what a pilot says.
+func (l *Lighthouse) heard(k *link, up *lamp.Up) {
+	now := time.Now()
+	if up.Sheet != nil && up.Sheet.Node == k.node {
+		k.life = up.Sheet.Life
+		if l.registry.Put(now, *up.Sheet) {
+			l.across[k.node] = true
+			l.note(k.node)
+		}
+	} else if l.registry.Vouch(now, k.node, k.life) {
+		l.note(k.node)
+	}
+	k.acked = max(k.acked, up.Ack)
+	l.acks(k)
+}
+
+// heardAcross takes what another lighthouse says.
+func (l *Lighthouse) heardAcross(ip string, a *lamp.Across) {
+	now := time.Now()
+	l.core[ip] = now
+	for _, s := range a.Sheets {
+		if l.registry.Put(now, s) {
+			l.note(s.Node)
+		}
+	}
+	for _, v := range a.Vouch {
+		if l.registry.Vouch(now, v.Node, v.Life) {
+			l.note(v.Node)
+		}
+	}
+	for _, other := range a.Core {
+		l.meet(other)
+	}
+}
+
+// note has a node pushed soon.
+func (l *Lighthouse) note(node string) {
+	l.changed[node] = true
+	if !l.pushing {
+		l.pushing = true
+		time.AfterFunc(batch, func() { l.post(l.flush) })
+	}
+}
+
+// flush pushes what has changed.
+func (l *Lighthouse) flush() {
+	l.pushing = false
+	d := lamp.Down{Sighted: l.sighted()}
+	a := lamp.Across{}
+	for node := range l.changed {
+		if k, ok := l.registry.Get(node); ok {
+			d.Nodes = append(d.Nodes, k)
+			if l.across[node] {
+				a.Sheets = append(a.Sheets, k.Sheet)
+			}
+		} else {
+			d.Gone = append(d.Gone, node)
+		}
+	}
+	clear(l.changed)
+	clear(l.across)
+	for k := range l.pilots {
+		l.push(k, d)
+	}
+	if len(a.Sheets) > 0 {
+		for _, k := range l.sisters {
+			if k != nil {
+				l.say(k, &a)
+			}
+		}
+	}
+}
+
+// push sends a numbered change to a pilot.
+func (l *Lighthouse) push(k *link, d lamp.Down) {
+	k.pushed++
+	d.Number, k.sight = k.pushed, d.Sighted
+	l.say(k, &d)
+}
+
+// wholePicture is everything that a pilot is told at first.
+func (l *Lighthouse) wholePicture() lamp.Down {
+	return lamp.Down{Whole: true, Nodes: l.registry.All(), InForce: l.inForce, Core: l.machines(), Sighted: l.sighted()}
+}
+
+func (l *Lighthouse) wholeAcross() *lamp.Across {
+	a := &lamp.Across{Core: l.machines()}
+	for _, k := range l.registry.All() {
+		a.Sheets = append(a.Sheets, k.Sheet)
+	}
+	return a
+}
+
+// sighted tells whether this lighthouse sees most of the core.
+func (l *Lighthouse) sighted() bool { return l.inForce != nil && l.inForce.Settled }
+
+// machines are those of the core that answered of late, this one among them.
+func (l *Lighthouse) machines() []string {
+	out := []string{l.s.IP}
+	for ip, at := range l.core {
+		if time.Since(at) < forget {
+			out = append(out, ip)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// tick ages what is known and says to everybody that this lighthouse is there.
+func (l *Lighthouse) tick() {
+	now := time.Now()
+	for _, node := range l.registry.Age(now, l.sighted()) {
+		l.log.Info().Str("pilot", node).Msg("pilot is dark or forgotten")
+		l.note(node)
+	}
+	for k := range l.pilots {
+		switch {
+		case k.sight != l.sighted():
+			l.push(k, lamp.Down{Sighted: l.sighted(), Core: l.machines()})
+		case now.Sub(k.last) >= pulse:
+			l.say(k, &lamp.Down{Sighted: k.sight})
+		}
+	}
+	a := lamp.Across{}
+	for k := range l.pilots {
+		if k.life != 0 {
+			a.Vouch = append(a.Vouch, lamp.Vouch{Node: k.node, Life: k.life})
+		}
+	}
+	for _, k := range l.sisters {
+		if k != nil {
+			l.core[k.node] = now
+			l.say(k, &a)
+		}
+	}
+}
+
+// ordered takes what the keeper says to be in force.
+func (l *Lighthouse) ordered(f *keeper.InForce) {
+	same := l.inForce.Same(f)
+	l.inForce = f
+	if same {
+		return
+	}
+	for k := range l.pilots {
+		l.push(k, lamp.Down{InForce: f, Sighted: f.Settled, Core: l.machines()})
+	}
+}
+
+// afterPilots runs then once all pilots that are connected go by what was pushed to them so far, or after a while.
+func (l *Lighthouse) afterPilots(then func()) {
+	w := &wait{until: map[*link]uint64{}, then: then}
+	for k := range l.pilots {
+		if k.acked < k.pushed {
+			w.until[k] = k.pushed
+		}
+	}
+	if len(w.until) == 0 {
+		then()
+		return
+	}
+	l.waits = append(l.waits, w)
+	time.AfterFunc(ackWait, func() { l.post(func() { l.endWait(w) }) })
+}
+
+// acks ends the waits that a pilot was the last one for.
+func (l *Lighthouse) acks(k *link) {
+	for _, w := range slices.Clone(l.waits) {
+		if n, ok := w.until[k]; ok && (k.acked >= n || !l.pilots[k]) {
+			delete(w.until, k)
+			if len(w.until) == 0 {
+				l.endWait(w)
+			}
+		}
+	}
+}
+
+func (l *Lighthouse) endWait(w *wait) {
+	if i := slices.Index(l.waits, w); i >= 0 {
+		l.waits = slices.Delete(l.waits, i, i+1)
+		if len(w.until) > 0 {
+			l.log.Warn().Int("pilots", len(w.until)).Msg("pilots have not acknowledged a change yet")
+		}
+		w.then()
+	}
+}
+
+// run runs a command of an endpoint or an operator.
+func (l *Lighthouse) run(c orders.Command, then func(orders.Result)) {
+	order := func(o keeper.Order) {
+		l.post(func() {
+			l.store.order(&o, func(r *keeper.Result) {
+				if r.Status == keeper.Done && o.Kind != keeper.ReadConfig {
+					l.afterPilots(func() { then(resultOf(r)) })
+					return
+				}
+				then(resultOf(r))
+			})
+		})
+	}
+	switch c := c.(type) {
+	case orders.ReplaceConfig:
+		order(keeper.Order{Kind: keeper.PutConfig, Body: c.Body})
+	case orders.ReadConfig:
+		order(keeper.Order{Kind: keeper.ReadConfig})
+	case orders.BeginEvacuation:
+		order(keeper.Order{Kind: keeper.BeginEvacuation, Zone: c.Zone})
+	case orders.FinishEvacuation:
+		order(keeper.Order{Kind: keeper.FinishEvacuation, Zone: c.Zone})
+	case orders.Readiness:
+		then(orders.Result{Status: http.StatusOK})
+	default: // the pilot beside an endpoint is the one that can promise it anything
+		then(orders.Result{Status: http.StatusServiceUnavailable, Body: []byte("the pilot beside the endpoint takes this call\n")})
+	}
+}
+
+// resultOf is what a caller is told of an order.
+func resultOf(r *keeper.Result) orders.Result {
+	switch r.Status {
+	case keeper.Done:
+		return orders.Result{Status: http.StatusOK, Body: r.Body, JSON: len(r.Body) > 0}
+	case keeper.Refused:
+		return orders.Result{Status: http.StatusBadRequest, Body: []byte(r.Why + "\n")}
+	case keeper.Conflict:
+		return orders.Result{Status: http.StatusConflict, Body: []byte(r.Why + "\n")}
+	case keeper.Absent:
+		return orders.Result{Status: http.StatusServiceUnavailable, Body: []byte(r.Why + "\n")}
+	}
+	return orders.Result{Status: http.StatusServiceUnavailable, Body: []byte(r.Why + "\n")}
+}
--- /dev/null
+++ b/internal/lighthouse/store.go
@@ -0,0 +1,131 @@
+package lighthouse
+
+import (
+	"net"
+	"time"
+
+	"whinknot/internal/keeper"
+	"whinknot/internal/signal"
+)
+
+const (
+	storeBeat = 500 * time.Millisecond
+	orderTime = 3500 * time.Millisecond // for a result; then it is unclear what became of the order
+)
+
+// store is the way to a keeper: the one on this machine, or another while that does not answer.
+type store struct {
+	l      *Lighthouse
+	conn   *signal.Conn // the loop's
+	lastID uint64
+	orders map[uint64]func(*keeper.Result)
+}
+
+func newStore(l *Lighthouse) *store {
+	return &store{l: l, orders: map[uint64]func(*keeper.Result){}}
+}
+
+// follow holds a connection to a keeper.
+func (s *store) follow() {
+	l := s.l
+	for l.ctx.Err() == nil {
+		conn, err := signal.Dial(keeper.Address(l.s.IP, l.s), silence)
+		if err == nil && l.hold(conn) {
+			if conn.Send(&keeper.Hello{Lighthouse: l.s.Node}) == nil {
+				l.post(func() { s.conn = conn })
+				stop := make(chan struct{})
+				l.running.Go(func() { s.beat(conn, stop) })
+				for {
+					var w keeper.Word
+					if conn.Receive(&w) != nil {
+						break
+					}
+					l.post(func() { s.heard(&w) })
+				}
+				close(stop)
+			}
+			l.drop(conn)
+			l.post(s.lost)
+		}
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(pulse / 4):
+		}
+	}
+}
+
+func (s *store) beat(conn *signal.Conn, stop chan struct{}) {
+	tick := time.NewTicker(storeBeat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+			if conn.Send(&keeper.Order{Kind: keeper.Beat}) != nil {
+				return
+			}
+		}
+	}
+}
+
+// heard takes a word of the keeper.
+func (s *store) heard(w *keeper.Word) {
+	if w.InForce != nil {
+		s.l.ordered(w.InForce)
+	}
+	for _, m := range w.Core {
+		s.l.meet(host(m.Addr))
+	}
+	if r := w.Result; r != nil {
+		if then := s.orders[r.ID]; then != nil {
+			delete(s.orders, r.ID)
+			then(r)
+		}
+	}
+}
+
+// lost notes that the keeper cannot be reached: what became of its orders is not clear, and this lighthouse sees nothing.
+func (s *store) lost() {
+	s.conn = nil
+	pending := s.orders
+	s.orders = map[uint64]func(*keeper.Result){}
+	for _, then := range pending {
+		then(&keeper.Result{Status: keeper.Unclear, Why: "the keeper was lost meanwhile"})
+	}
+	if f := s.l.inForce; f != nil {
+		blind := *f
+		blind.Settled = false
+		s.l.inForce = &blind
+	}
+}
+
+// order has the keeper carry out an order; then gets the result, once.
+func (s *store) order(o *keeper.Order, then func(*keeper.Result)) {
+	if s.conn == nil {
+		then(&keeper.Result{Status: keeper.Unclear, Why: "no keeper can be reached"})
+		return
+	}
+	s.lastID++
+	o.ID = s.lastID
+	id, conn := o.ID, s.conn
+	s.orders[id] = then
+	s.l.running.Go(func() { conn.Send(o) })
+	time.AfterFunc(orderTime, func() {
+		s.l.post(func() {
+			if f := s.orders[id]; f != nil {
+				delete(s.orders, id)
+				f(&keeper.Result{Status: keeper.Unclear, Why: "the keeper gave no result in time"})
+			}
+		})
+	})
+}
+
+// host is the machine of an address.
+func host(addr string) string {
+	ip, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return ""
+	}
+	return ip
+}
--- /dev/null
+++ b/internal/pilot/fairway.go
@@ -0,0 +1,376 @@
+package pilot
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"whinknot"
+	"whinknot/internal/beacon"
+	"whinknot/internal/chart"
+	"whinknot/internal/pier"
+	"whinknot/internal/sidecar"
+)
+
+const (
+	aimPart    = 0.25 // of its aim that a request may wait at a gate without having been offered
+	usualAim   = 500 * time.Millisecond
+	usualTime  = 5 * time.Second
+	moreTries  = 3   // attempts beyond those that may reach an endpoint: gates turn some away
+	coldFrom   = 0.3 // share of its capacity that a cold endpoint is taken to bear at first
+	backPart   = 0.25
+	lateWorth  = 0.3
+	retireTime = 30 * time.Second
+	sameCold   = time.Second
+	pilotIdle  = 15 * time.Second
+	topWorth   = 4.0
+)
+
+// fairway is the way to one service: its decision module, and the endpoints that it is told of.
+type fairway struct {
+	p    *Pilot
+	name string
+
+	mu      sync.Mutex
+	service *sidecar.Service
+	classes []classKey
+	warmup  time.Duration
+	copies  int
+	rank    int
+	berths  []sidecar.Berth
+	lives   map[string]*life // by name of the life
+	ration  pier.Ration
+}
+
+// classKey is what makes requests alike to the decision module.
+type classKey struct {
+	safe     bool
+	aim      time.Duration
+	priority int
+}
+
+// life is one life of an endpoint, as this pilot knows it.
+type life struct {
+	node    string
+	inbound string
+	own     bool      // it is beside this pilot
+	started time.Time // if it was cold when this pilot heard of it
+	cold    time.Time // until then
+}
+
+func newFairway(p *Pilot, name string) *fairway {
+	b := &p.s.Bounds
+	return &fairway{p: p, name: name, copies: 1, lives: map[string]*life{}, ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
+}
+
+func keyOf(r *chart.Route) classKey {
+	k := classKey{safe: r.Kind == chart.Safe, aim: r.Aim, priority: r.Priority}
+	if k.aim == 0 {
+		k.aim = usualAim
+	}
+	return k
+}
+
+// chart takes the configuration: classes that are new need a module that knows them.
+func (f *fairway) chart(c *chart.Chart) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	classes := slices.Clone(f.classes)
+	for i := range c.Routes {
+		for _, part := range c.Routes[i].Parts {
+			if k := keyOf(&c.Routes[i]); part.Service == f.name && !slices.Contains(classes, k) {
+				classes = append(classes, k)
+			}
+		}
+	}
+	warmup := c.Services[f.name].Warmup
+	if len(classes) == len(f.classes) && warmup == f.warmup || len(classes) == 0 {
+		return
+	}
+	f.classes, f.warmup = classes, warmup
+	f.renew()
+}
+
+// renew puts a module in the place of the one so far, with what that has learned. f.mu is held.
+func (f *fairway) renew() {
+	s := f.p.s
+	zones := f.zones()
+	set := whinknot.Settings{
+		Copies: f.copies, Rank: f.rank, Zone: slices.Index(zones, s.Zone),
+		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, ConnIdle: float64(pilotIdle.Milliseconds())},
+		Safety: whinknot.Safety{ColdFrom: coldFrom, Ramp: float64(f.warmup.Milliseconds())},
+	}
+	for _, k := range f.classes {
+		c := whinknot.Class{Name: "class", Worth: topWorth / float64(int(1)<<min(max(k.priority, 0), 16)), LateWorth: lateWorth,
+			Aim: float64(k.aim.Milliseconds()), GiveUp: float64(usualTime.Milliseconds())}
+		c.GiveUp = max(c.GiveUp, c.Aim)
+		if !k.safe {
+			c.Effect = whinknot.Unsafe
+		}
+		set.Classes = append(set.Classes, c)
+	}
+	var learned *whinknot.Memory
+	old := f.service
+	if old != nil {
+		m := old.Learned()
+		learned = &m
+	}
+	next, err := sidecar.NewService(set, zones, rand.Uint64(), s.Descriptors/4, learned)
+	if err != nil {
+		f.p.log.Error().Err(err).Str("service", f.name).Msg("module cannot be made")
+		return
+	}
+	f.service = next
+	next.Servers(f.berths, f.copies, f.rank)
+	if old != nil {
+		f.p.running.Go(func() { old.Retire(time.Now().Add(retireTime)) })
+	}
+}
+
+// zones are the names of all zones, in the order that the module numbers them in.
+func (f *fairway) zones() []string {
+	var out []string
+	for zone := range f.p.s.Zones {
+		out = append(out, zone)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// list tells the module the endpoints of the service. It runs in the pilot's loop.
+func (f *fairway) list(nodes []beacon.Known) {
+	p := f.p
+	now := time.Now()
+	zones := f.zones()
+	lives := map[string]*life{}
+	var berths []sidecar.Berth
+	copies, rank, before := 0, 0, 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range nodes {
+		n := &nodes[i]
+		if !n.Dark {
+			copies++
+			if n.Zone == p.s.Zone {
+				if n.Node == p.s.Node {
+					rank = before
+				}
+				before++
+			}
+		}
+		e := n.Endpoint
+		if e == nil || e.Target != f.name || e.State == beacon.Gone {
+			continue
+		}
+		l := f.lives[e.ID]
+		if l == nil {
+			l = &life{}
+		}
+		l.node, l.inbound, l.own = n.Node, n.Inbound, n.Node == p.s.Node
+		if until := now.Add(e.Cold); e.Cold > 0 && until.After(l.cold.Add(sameCold)) && l.node != "" {
+			if l.cold.IsZero() || now.After(l.cold) {
+				l.cold, l.started = until, until.Add(-f.warmup)
+			}
+		}
+		lives[e.ID] = l
+		b := sidecar.Berth{Name: e.ID, Addr: n.Inbound, Zone: n.Zone, Started: l.started}
+		b.Draining = e.State == beacon.Draining || n.Leaving || n.Dark || p.room.Evacuated(n.Zone) || !p.shunned[e.ID].IsZero()
+		berths = append(berths, b)
+	}
+	f.lives, f.berths = lives, berths
+	f.copies = max(copies, 1)
+	f.rank = rank*max(len(zones), 1) + max(slices.Index(zones, p.s.Zone), 0)
+	if f.service != nil {
+		f.service.Servers(berths, f.copies, f.rank)
+	}
+}
+
+// harbour takes requests that begin on this machine.
+type harbour struct{ p *Pilot }
+
+// Open sees the head of a request.
+func (h *harbour) Open(e *sidecar.Errand) (int64, *sidecar.Reply) {
+	v := h.p.view.Load()
+	if v.chart == nil {
+		return 0, &sidecar.Reply{Status: http.StatusServiceUnavailable, RetryAfter: 200 * time.Millisecond, Body: []byte("no configuration yet\n")}
+	}
+	path, _, _ := strings.Cut(e.URI, "?")
+	if v.chart.Match(e.Host, path) == nil {
+		return 0, &sidecar.Reply{Status: http.StatusNotFound, Body: []byte("no route\n")}
+	}
+	if _, _, ok := sidecar.Deadline(e.Header, deadlineHeader); !ok {
+		return 0, &sidecar.Reply{Status: http.StatusBadRequest, Body: []byte(deadlineHeader + " is no time\n")}
+	}
+	if e.Length > v.chart.Limits.MaxBody {
+		return 0, &sidecar.Reply{Status: http.StatusRequestEntityTooLarge, Body: []byte("the body is over the limit\n")}
+	}
+	return v.chart.Limits.MaxBody, nil
+}
+
+// Serve has a request served by the service of its route, by the configuration in force once it has come whole.
+func (h *harbour) Serve(ctx context.Context, e *sidecar.Errand) sidecar.Reply {
+	v := h.p.view.Load()
+	path, _, _ := strings.Cut(e.URI, "?")
+	r := v.chart.Match(e.Host, path)
+	if r == nil {
+		return sidecar.Reply{Status: http.StatusNotFound, Body: []byte("no route\n")}
+	}
+	return v.services[r.Pick(rand.Float64())].serve(ctx, e, r)
+}
+
+// serve has one request served.
+func (f *fairway) serve(ctx context.Context, e *sidecar.Errand, r *chart.Route) sidecar.Reply {
+	now := time.Now()
+	left, told, _ := sidecar.Deadline(e.Header, deadlineHeader)
+	if !told {
+		left = usualTime
+	}
+	due := e.Came.Add(left)
+	if by := e.Came.Add(r.Deadline); r.Deadline > 0 && by.Before(due) {
+		due = by
+	}
+	due = due.Add(-min(50*time.Millisecond, due.Sub(now)/10))
+	key := keyOf(r)
+	f.mu.Lock()
+	service, class := f.service, slices.Index(f.classes, key)
+	f.ration.Request(now)
+	f.mu.Unlock()
+	if service == nil || class < 0 {
+		return sidecar.Reply{Status: http.StatusServiceUnavailable, RetryAfter: 100 * time.Millisecond}
+	}
+	stripOwn(e.Header)
+	e.Header.Del(deadlineHeader)
+	e.Header.Del(targetHeader)
+	e.Header.Del(callerHeader)
+	t := &trip{f: f, e: e, r: r, patience: time.Duration(aimPart * float64(key.aim))}
+	reply, ok := service.Do(ctx, &sidecar.Job{
+		Class: uint16(class), Due: due, Attempts: r.Tries + moreTries, Cross: t.cross,
+	})
+	if !ok {
+		return sidecar.Reply{Status: http.StatusBadGateway}
+	}
+	if reply.Header == nil {
+		reply.Header = http.Header{}
+	}
+	reply.Header.Del(wordHeader)
+	if reply.RetryAfter > 0 {
+		reply.RetryAfter = min(reply.RetryAfter, time.Duration(backPart*float64(time.Until(due))))
+		reply.RetryAfter = max(reply.RetryAfter, time.Millisecond).Round(time.Millisecond)
+	}
+	return reply
+}
+
+// promises tells whether a status says that the request has not run and never will.
+func promises(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+// trip is one request on its way, over its attempts.
+type trip struct {
+	f        *fairway
+	e        *sidecar.Errand
+	r        *chart.Route
+	patience time.Duration
+	arrived  int // attempts that reached an endpoint
+}
+
+// head is the head of the request as it goes to an endpoint, but for the time left.
+func (t *trip) head(b *bytes.Buffer, life string) {
+	b.WriteString(t.e.Method + " " + t.e.URI + " HTTP/1.1\r\nHost: " + t.e.Host + "\r\n")
+	sidecar.WriteLines(b, t.e.Header)
+	sidecar.WriteLine(b, targetHeader, life)
+	sidecar.WriteLine(b, callerHeader, t.f.p.s.Target)
+}
+
+// cross carries one attempt to the pilot beside an endpoint. Attempts of one request follow each other.
+func (t *trip) cross(x *sidecar.Crossing) sidecar.Word {
+	f := t.f
+	f.mu.Lock()
+	l := f.lives[x.Server]
+	own := l != nil && l.own
+	may := t.arrived == 0
+	if l != nil && t.arrived > 0 && t.arrived < t.r.Tries {
+		may = f.ration.Repeat(time.Now(), f.p.s.Bounds.RetrySlack/float64(f.copies))
+	}
+	f.mu.Unlock()
+	if l == nil {
+		return sidecar.Word{Outcome: whinknot.NotSent}
+	}
+	if !may {
+		return sidecar.Word{Outcome: whinknot.NotSent, Final: true}
+	}
+	var word string
+	var got *sidecar.Reply
+	if own {
+		word, got = f.p.quay.take(x.Ctx, &passenger{
+			life: x.Server, rank: t.r.Priority, until: x.Until, patience: t.patience, id: t.e.Header.Get(idHeader), body: t.e.Body,
+			bare: t.e.Method == http.MethodGet, head: func(b *bytes.Buffer) { t.head(b, x.Server) },
+		})
+	} else {
+		fate, r := x.Over(&sidecar.Hop{
+			Body: t.e.Body, Bare: t.e.Method == http.MethodGet, Most: mostBody,
+			Head: func(left time.Duration) []byte {
+				var b bytes.Buffer
+				t.head(&b, x.Server)
+				sidecar.WriteLine(&b, deadlineHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+				sidecar.WriteLine(&b, patienceHeader, strconv.FormatInt(max(t.patience.Milliseconds(), 1), 10))
+				sidecar.WriteLine(&b, rankHeader, strconv.Itoa(t.r.Priority))
+				return b.Bytes()
+			},
+		})
+		switch fate {
+		case sidecar.NeverWritten:
+			return sidecar.Word{Outcome: whinknot.ConnectFailed}
+		case sidecar.CalledOff:
+			return sidecar.Word{Outcome: whinknot.Cancelled}
+		case sidecar.TooLate:
+			word = wordLate
+		case sidecar.Whole:
+			word, got = r.Header.Get(wordHeader), r
+			r.Header.Del(wordHeader)
+		}
+	}
+	return t.meaning(word, got, x.Server)
+}
+
+// meaning turns what is certain of an attempt into what the module is told.
+func (t *trip) meaning(word string, r *sidecar.Reply, life string) sidecar.Word {
+	if v, ok := strings.CutPrefix(word, wordTurned); ok {
+		if v == pier.Full.String() || v == pier.Cold.String() {
+			return sidecar.Word{Outcome: whinknot.Full}
+		}
+		t.f.p.post(func() { t.f.p.shun(life) })
+		return sidecar.Word{Outcome: whinknot.NotSent}
+	}
+	if word == wordNever {
+		return sidecar.Word{Outcome: whinknot.ConnectFailed}
+	}
+	t.arrived++
+	switch {
+	case word == wordLate:
+		return sidecar.Word{Outcome: whinknot.Timeout}
+	case word != wordAnswer || r == nil:
+		return sidecar.Word{Outcome: whinknot.Reset}
+	case r.Header.Get(notRunHeader) != "" || r.Status == http.StatusMisdirectedRequest:
+		if r.Status == http.StatusMisdirectedRequest {
+			t.f.p.post(func() { t.f.p.shun(life) })
+		}
+		return sidecar.Word{Outcome: whinknot.Full}
+	case r.Status < 300 && (r.Header.Get(sealHeader) == "" || r.Header.Get("Content-Encoding") != ""):
+		return sidecar.Word{Outcome: whinknot.Reset}
+	case r.Status < 300:
+		return sidecar.Word{Outcome: whinknot.OK, Reply: r}
+	case promises(r.Status): // the endpoint did not say that it has not run: the status must not say so either
+		return sidecar.Word{Outcome: whinknot.Error}
+	case r.Status < 500:
+		return sidecar.Word{Outcome: whinknot.Cancelled, Reply: r}
+	}
+	return sidecar.Word{Outcome: whinknot.Error, Reply: r, Own: true}
+}
--- /dev/null
+++ b/internal/pilot/links.go
@@ -0,0 +1,186 @@
+package pilot
+
+import (
+	"net"
+	"slices"
+	"time"
+
+	"whinknot/internal/beacon"
+	"whinknot/internal/berth"
+	"whinknot/internal/lamp"
+	"whinknot/internal/lighthouse"
+	"whinknot/internal/signal"
+	"whinknot/internal/spread"
+)
+
+const (
+	linkPulse   = 500 * time.Millisecond
+	linkSilence = 1500 * time.Millisecond
+	linkCount   = 3 // lighthouses that are connected to at once
+	retryAfter  = 250 * time.Millisecond
+)
+
+// links are the held connections to lighthouses. They belong to the pilot's loop.
+type links struct {
+	p      *Pilot
+	s      *berth.Settings
+	known  map[string]time.Time // machines of the core, and when they were last named or reached
+	active map[string]*link
+	failed map[string]time.Time // not to be tried before
+}
+
+type link struct {
+	ip   string
+	conn *signal.Conn // nil while it is being opened
+	out  chan *lamp.Up
+	last time.Time
+	ack  uint64
+}
+
+func newLinks(p *Pilot) *links {
+	return &links{p: p, s: p.s, known: map[string]time.Time{}, active: map[string]*link{}, failed: map[string]time.Time{}}
+}
+
+func (l *links) meetSeeds() { l.p.post(func() { l.settings(l.s) }) }
+
+// settings takes settings that were read again.
+func (l *links) settings(s *berth.Settings) {
+	l.s = s
+	for _, seed := range s.Seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			l.known[ip] = time.Now()
+		}
+	}
+	l.tick()
+}
+
+// order is the machines of the core, those first that this pilot would rather be connected to.
+func (l *links) order() []string {
+	var out []string
+	for ip := range l.known {
+		out = append(out, ip)
+	}
+	rank := func(ip string) uint64 { return spread.Name(ip + "|" + l.s.Node) }
+	slices.SortFunc(out, func(a, b string) int {
+		if rank(a) < rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// tick opens connections while there are too few, and says on each that this pilot is there.
+func (l *links) tick() {
+	now := time.Now()
+	for _, ip := range l.order() {
+		if len(l.active) >= linkCount {
+			break
+		}
+		if l.active[ip] == nil && now.After(l.failed[ip]) {
+			l.open(ip)
+		}
+	}
+	for _, k := range l.active {
+		if k.conn != nil && now.Sub(k.last) >= linkPulse-lookEvery/2 {
+			l.send(k, &lamp.Up{Ack: k.ack})
+		}
+	}
+}
+
+func (l *links) open(ip string) {
+	k := &link{ip: ip, out: make(chan *lamp.Up, 64)}
+	l.active[ip] = k
+	p := l.p
+	p.running.Go(func() {
+		conn, err := signal.Dial(lighthouse.Address(ip, l.s), linkSilence)
+		if err == nil {
+			err = conn.Send(&lamp.Hello{Pilot: l.s.Node})
+		}
+		if err != nil {
+			p.post(func() { l.lose(k) })
+			return
+		}
+		stop := make(chan struct{})
+		p.running.Go(func() {
+			select {
+			case <-stop:
+			case <-p.ctx.Done():
+			}
+			conn.Close()
+		})
+		defer close(stop)
+		p.running.Go(func() {
+			for up := range k.out {
+				if conn.Send(up) != nil {
+					conn.Close()
+					for range k.out {
+					}
+					return
+				}
+			}
+		})
+		p.post(func() {
+			k.conn = conn
+			sheet := p.sheet
+			l.send(k, &lamp.Up{Sheet: &sheet})
+		})
+		for {
+			var d lamp.Down
+			if err = conn.Receive(&d); err != nil {
+				break
+			}
+			p.post(func() { l.hear(k, &d) })
+		}
+		p.post(func() {
+			close(k.out)
+			k.conn = nil
+			l.lose(k)
+		})
+	})
+}
+
+// send sends to a lighthouse; one that does not take it is cut off.
+func (l *links) send(k *link, up *lamp.Up) {
+	select {
+	case k.out <- up:
+		k.last = time.Now()
+	default:
+		k.conn.Close()
+	}
+}
+
+// say tells all lighthouses a sheet.
+func (l *links) say(s beacon.Sheet) {
+	for _, k := range l.active {
+		if k.conn != nil {
+			l.send(k, &lamp.Up{Sheet: &s, Ack: k.ack})
+		}
+	}
+}
+
+// hear takes news and acknowledges it.
+func (l *links) hear(k *link, d *lamp.Down) {
+	for _, ip := range d.Core {
+		l.known[ip] = time.Now()
+	}
+	l.p.news(l.p.room.Hear(time.Now(), k.ip, d))
+	if d.Number > 0 {
+		k.ack = d.Number
+		if k.conn != nil {
+			l.send(k, &lamp.Up{Ack: k.ack})
+		}
+	}
+}
+
+// lose notes that a lighthouse cannot be reached.
+func (l *links) lose(k *link) {
+	if l.active[k.ip] != k {
+		return
+	}
+	now := time.Now()
+	delete(l.active, k.ip)
+	l.failed[k.ip] = now.Add(retryAfter)
+	l.p.news(lamp.Change{Nodes: l.p.room.Lose(now, k.ip)})
+	l.tick()
+}
--- /dev/null
+++ b/internal/pilot/pilot.go
@@ -0,0 +1,277 @@
+// Package pilot is the proxy: one process beside every endpoint. It carries the requests that begin on its machine, by the
+// decision module, to the pilots beside other endpoints, and lets in what comes for its own (package pier).
+package pilot
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"whinknot/internal/beacon"
+	"whinknot/internal/berth"
+	"whinknot/internal/chart"
+	"whinknot/internal/lamp"
+	"whinknot/internal/orders"
+	"whinknot/internal/shore"
+	"whinknot/internal/sidecar"
+)
+
+var space = errorx.NewNamespace("pilot")
+
+// Start is the type of errors that keep a pilot from starting.
+var Start = space.NewType("start")
+
+const (
+	lookEvery   = 250 * time.Millisecond
+	keepMissing = 5 * time.Second // a node that no lighthouse names any more is kept for so long
+	finishTime  = time.Second     // for calls of the endpoint under way at the end
+	acceptPart  = 0.5             // of the grace in which clients may still come after SIGTERM
+	endBefore   = 400 * time.Millisecond
+	leaveAfter  = 700 * time.Millisecond // after SIGTERM, other pilots have heard
+	quietTime   = 20 * time.Second       // between pilots
+	headTime    = 3 * time.Second
+)
+
+// Pilot is one running proxy. What it knows belongs to the goroutine of loop; what requests read is in view.
+type Pilot struct {
+	s    *berth.Settings
+	log  zerolog.Logger
+	mail chan func()
+	over chan struct{}
+
+	room    *lamp.Chartroom
+	links   *links
+	sheet   beacon.Sheet
+	view    atomic.Pointer[view]
+	fairway map[string]*fairway // by service
+	shunned map[string]time.Time
+	quay    *quay
+	leaving atomic.Bool
+
+	running   sync.WaitGroup
+	inbound   *sidecar.Port
+	outbound  *sidecar.Port
+	control   net.Listener
+	readiness net.Listener
+	ctx       context.Context
+}
+
+// view is what requests go by: immutable, replaced whole.
+type view struct {
+	chart    *chart.Chart
+	services map[string]*fairway
+}
+
+// New opens the ports.
+func New(s *berth.Settings, log zerolog.Logger) (*Pilot, error) {
+	if s.Inbound == "" || s.Outbound == "" || s.Readiness == "" || s.Control == "" || s.LocalApp == "" {
+		return nil, Start.New("%s: bind.inbound, bind.outbound, bind.readiness, bind.control and local_app are needed", s.Path)
+	}
+	p := &Pilot{
+		s: s, log: log, mail: make(chan func(), 512), over: make(chan struct{}), room: lamp.NewChartroom(keepMissing),
+		fairway: map[string]*fairway{}, shunned: map[string]time.Time{},
+	}
+	p.view.Store(&view{})
+	p.sheet = beacon.Sheet{
+		Node: s.Node, Zone: s.Zone, Life: uint64(time.Now().UnixNano()), Number: 1, Inbound: s.Inbound,
+		Talk: net.JoinHostPort(s.IP, fmt.Sprint(s.Port(shore.PilotPort))),
+	}
+	p.quay = newQuay(p)
+	p.links = newLinks(p)
+	var err error
+	if p.control, err = net.Listen("tcp", s.Control); err != nil {
+		return nil, Start.Wrap(err, "listen")
+	}
+	if p.readiness, err = net.Listen("tcp", s.Readiness); err != nil {
+		return nil, Start.Wrap(err, "listen")
+	}
+	return p, nil
+}
+
+// Run serves until ctx ends, then finishes what was taken.
+func (p *Pilot) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer p.running.Wait()
+	defer stop()
+	p.ctx = inner
+	var err error
+	most := p.s.Descriptors / 4
+	limits := sidecar.PortLimits{Connections: most, Quiet: quietTime, Head: headTime}
+	if p.inbound, err = sidecar.NewPort(p.s.Inbound, limits, p.quay); err != nil {
+		return Start.Wrap(err, "listen")
+	}
+	if p.outbound, err = sidecar.NewPort(p.s.Outbound, limits, &harbour{p}); err != nil {
+		return Start.Wrap(err, "listen")
+	}
+	p.running.Go(p.loop)
+	p.links.meetSeeds()
+	calls := &http.Server{Handler: orders.NewHandler(p.run)}
+	ready := &http.Server{Handler: orders.NewHandler(p.run)}
+	ended := make(chan error, 2)
+	serving, silent := context.WithCancel(context.Background())
+	defer silent()
+	p.running.Go(func() {
+		ended <- orders.Serve(serving, calls, func() error { return calls.Serve(p.control) }, finishTime)
+	})
+	p.running.Go(func() {
+		ended <- orders.Serve(serving, ready, func() error { return ready.Serve(p.readiness) }, finishTime)
+	})
+	p.log.Info().Str("outbound", p.s.Outbound).Str("target", p.s.Target).Msg("serving")
+	select {
+	case err := <-ended:
+		return Start.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	p.drain()
+	p.log.Info().Msg("ended")
+	return nil
+}
+
+// drain ends in order: other pilots hear that this one leaves, clients find it not ready, and what was taken is finished.
+func (p *Pilot) drain() {
+	begun := time.Now()
+	p.log.Info().Msg("leaving")
+	p.leaving.Store(true)
+	p.post(func() {
+		p.sheet.Leaving = true
+		p.say()
+	})
+	p.quay.leave(begun.Add(leaveAfter))
+	grace := p.s.Bounds.Grace
+	accept := time.Duration(acceptPart * float64(grace))
+	last := grace - endBefore
+	var both sync.WaitGroup
+	both.Go(func() { p.outbound.Drain(accept, last) })
+	both.Go(func() { p.inbound.Drain(accept, last) })
+	both.Wait()
+}
+
+// Changed takes settings that were read again.
+func (p *Pilot) Changed(s *berth.Settings) {
+	p.post(func() { p.links.settings(s) })
+}
+
+func (p *Pilot) loop() {
+	defer close(p.over)
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case f := <-p.mail:
+			f()
+		case <-tick.C:
+			p.tick()
+		}
+	}
+}
+
+// post has the loop run f, unless it is over.
+func (p *Pilot) post(f func()) {
+	select {
+	case p.mail <- f:
+	case <-p.over:
+	}
+}
+
+// tick does what is due by age.
+func (p *Pilot) tick() {
+	now := time.Now()
+	changed := p.room.Merge(now)
+	for life, until := range p.shunned {
+		if now.After(until) {
+			delete(p.shunned, life)
+			changed = true
+		}
+	}
+	if changed {
+		p.relist()
+	}
+	p.quay.look()
+	p.links.tick()
+}
+
+// say has all lighthouses told the sheet, which has changed.
+func (p *Pilot) say() {
+	p.sheet.Number++
+	p.links.say(p.sheet)
+}
+
+// news takes what has changed in the chart room.
+func (p *Pilot) news(c lamp.Change) {
+	if c.Config {
+		p.rechart()
+	}
+	if c.Zones || c.Config {
+		p.quay.ordered(p.room.Evacuated(p.s.Zone), p.view.Load().chart)
+	}
+	if c.Nodes || c.Zones || c.Config {
+		p.relist()
+	}
+}
+
+// rechart compiles the configuration that is held now.
+func (p *Pilot) rechart() {
+	text, version := p.room.Config()
+	c, err := chart.Parse(text)
+	if err != nil { // a keeper checked it: one of another version of this program, perhaps
+		p.log.Error().Err(err).Uint64("version", version).Msg("configuration cannot be used")
+		return
+	}
+	services := make(map[string]*fairway, len(c.Services))
+	for name := range c.Services {
+		f := p.fairway[name]
+		if f == nil {
+			f = newFairway(p, name)
+			p.fairway[name] = f
+		}
+		f.chart(c)
+		services[name] = f
+	}
+	p.view.Store(&view{chart: c, services: services})
+	p.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("configuration in force")
+}
+
+// shun sends nothing to a life for a while, as its gate said that it takes nothing.
+func (p *Pilot) shun(life string) {
+	if p.shunned[life].IsZero() {
+		p.shunned[life] = time.Now().Add(shunTime)
+		p.relist()
+	}
+}
+
+const shunTime = time.Second
+
+// relist tells every service its endpoints.
+func (p *Pilot) relist() {
+	nodes := p.room.Nodes()
+	for _, f := range p.fairway {
+		f.list(nodes)
+	}
+}
+
+// run runs a command of the endpoint beside this pilot, or of the platform.
+func (p *Pilot) run(c orders.Command, then func(orders.Result)) {
+	switch c := c.(type) {
+	case orders.Readiness:
+		status := http.StatusOK
+		if p.leaving.Load() || p.view.Load().chart == nil {
+			status = http.StatusServiceUnavailable
+		}
+		then(orders.Result{Status: status})
+	case orders.Heartbeat:
+		p.post(func() { p.quay.beat(&c); then(orders.Result{Status: http.StatusOK, Body: []byte("{}"), JSON: true}) })
+	case orders.Deregister:
+		p.post(func() { p.quay.gone(c.ID); then(orders.Result{Status: http.StatusOK, Body: []byte("{}"), JSON: true}) })
+	default:
+		then(orders.Result{Status: http.StatusNotFound, Body: []byte("the core machines take this call\n")})
+	}
+}
--- /dev/null
+++ b/internal/shore/shore.go
@@ -0,0 +1,100 @@
+// Package shore is what every process of the mesh does alike: its log, its settings file that is read again when it has
+// changed, its end, and the places of the programs' own ports.
+package shore
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"whinknot/internal/berth"
+)
+
+// The places of the programs among the ports for the system's own talk.
+const (
+	LighthousePort = iota
+	KeeperPort
+	PilotPort
+)
+
+const lookEvery = 500 * time.Millisecond
+
+// Log makes a log of one line of key=value pairs an event.
+func Log(to io.Writer, program, node string) zerolog.Logger {
+	plain := func(i any) string { return fmt.Sprint(i) }
+	w := zerolog.ConsoleWriter{
+		Out: to, NoColor: true, TimeFormat: time.RFC3339Nano,
+		FormatTimestamp:  func(i any) string { return "time=" + plain(i) },
+		FormatLevel:      func(i any) string { return "level=" + plain(i) },
+		FormatMessage:    func(i any) string { return "event=" + quoted(plain(i)) },
+		FormatFieldName:  func(i any) string { return plain(i) + "=" },
+		FormatFieldValue: func(i any) string { return quoted(plain(i)) },
+	}
+	return zerolog.New(w).With().Timestamp().Str("program", program).Str("node", node).Logger()
+}
+
+// quoted is a value as one word.
+func quoted(s string) string {
+	if s == "" || strings.ContainsAny(s, " \t\n\r\"=") {
+		return fmt.Sprintf("%q", strings.Trim(s, `"`))
+	}
+	return s
+}
+
+// UntilTold gives a context that ends with SIGTERM or SIGINT.
+func UntilTold() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Follow reads the settings again at SIGHUP and when the file has changed, until ctx ends. What cannot be used is told
+// and changes nothing.
+func Follow(ctx context.Context, s *berth.Settings, log zerolog.Logger, changed func(*berth.Settings)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	last := stat(s.Path)
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-tick.C:
+		}
+		now := stat(s.Path)
+		if now == last && !asked {
+			continue
+		}
+		last = now
+		next, err := berth.LoadFile(s.Path)
+		if err != nil {
+			log.Error().Err(err).Msg("settings kept")
+			continue
+		}
+		log.Info().Str("path", s.Path).Msg("settings read")
+		changed(next)
+	}
+}
+
+type seen struct {
+	at   time.Time
+	size int64
+}
+
+func stat(path string) seen {
+	info, err := os.Stat(path)
+	if err != nil {
+		return seen{}
+	}
+	return seen{info.ModTime(), info.Size()}
+}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -57,6 +57,8 @@
 	done      func()                 // to be called once the request is over; may be nil
 	empty     bool                   // the body is read and goes nowhere
 	instead   func(*answer) *standIn // what stands in for an answer, nil for nothing; itself nil where nothing can
+	serve     server                 // instead of a call: gives the answer once the body has come whole; nil for none
+	most      int64                  // with serve: bytes of the body
 }
 
 // newFront makes the platform's front for at most so many callers' connections.
@@ -117,6 +119,8 @@
 	case t.fixed != nil:
 		c.giveAway(t.fixed)
 		return false
+	case t.serve != nil:
+		return f.byServer(c, m, &t, waits, lasts)
 	case t.call == nil:
 		c.turnAway(t.status, t.complaint)
 		return false
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -35,6 +35,7 @@
 	longer   float64        // and if its body streams
 	out      outgoing
 	rpc      *rpc         // instead, of a gRPC call
+	passage  *passage     // instead, of a request within a mesh
 	reply    func(answer) // takes the one final answer
 	backstop *due
 	ended    bool
@@ -60,6 +61,9 @@
 	if c.rpc != nil {
 		return c.rpc
 	}
+	if c.passage != nil {
+		return c.passage
+	}
 	return &c.out
 }
 
@@ -582,6 +586,7 @@
 		e := l.directory.entry(&t)
 		ev.Servers = append(ev.Servers, e)
 		l.up.list(e.Server, t.Endpoint, e.Started, e.State)
+		l.up.name(e.Server, t.UID)
 		if e.State == whinknot.Gone {
 			delete(l.listed, e.Server)
 		} else {
--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -139,14 +139,17 @@
 	return int64(n), nil
 }
 
-// readBody reads a body whole. One that is announced to be too long is not begun.
-func readBody(r *bufio.Reader, length int64) ([]byte, error) {
-	if length > maxBody {
+// readBody reads a body of the usual size whole.
+func readBody(r *bufio.Reader, length int64) ([]byte, error) { return readWhole(r, length, maxBody) }
+
+// readWhole reads a body of at most so many bytes whole. One that is announced to be too long is not begun.
+func readWhole(r *bufio.Reader, length, most int64) ([]byte, error) {
+	if length > most {
 		return nil, errTooLong
 	}
 	if length == chunked {
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), maxBody+1))
-		if err == nil && len(body) > maxBody {
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), most+1))
+		if err == nil && int64(len(body)) > most {
 			err = errTooLong
 		}
 		if err == nil {
--- /dev/null
+++ b/internal/sidecar/passage.go
@@ -0,0 +1,342 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"whinknot"
+	"whinknot/internal/wire"
+)
+
+// Fate is how far an exchange with a peer got, as far as this end can tell for certain.
+type Fate uint8
+
+// The fates.
+const (
+	NeverWritten Fate = iota // not all of the request left: it cannot have run
+	Whole                    // an answer came whole
+	Broken                   // it was written, and then there was no sound answer
+	TooLate                  // it was written, and no answer came in time
+	CalledOff                // it was written, and nobody wants the answer any more
+)
+
+// hop is what one exchange sends, and what it takes for the answer.
+type hop struct {
+	head func(left time.Duration) []byte // lines without the length and the empty line
+	body []byte
+	get  bool   // no length is told for an empty body
+	id   string // answers name it in X-Attempt-Id; what names another belongs to another request; "" for any
+	most int64  // bytes of an answer's body
+}
+
+const strayAnswers = 4 // of other requests that are passed over before the wanted one
+
+// cross carries a hop to a server and back.
+func (u *upstream) cross(a *attempt, e *endpoint, h *hop, until time.Time) (Fate, *Reply) {
+	defer a.cancel()
+	c, err := u.connect(a.ctx, e, until)
+	if err != nil {
+		return NeverWritten, nil
+	}
+	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	fate, got, keep := u.over(a, c, h, until)
+	if !stop() || !keep {
+		u.discard(c)
+	} else {
+		u.put(c)
+	}
+	return fate, got
+}
+
+// over does so on a connection, and tells whether it can be used again.
+func (u *upstream) over(a *attempt, c *conn, h *hop, until time.Time) (Fate, *Reply, bool) {
+	c.SetDeadline(until)
+	var text bytes.Buffer
+	text.Write(h.head(max(time.Until(until), 0)))
+	if len(h.body) > 0 || !h.get {
+		writeNumber(&text, "Content-Length", int64(len(h.body)))
+	}
+	text.WriteString("\r\n")
+	if !a.claim() {
+		return NeverWritten, nil, true
+	}
+	if len(h.body) < maxBody {
+		text.Write(h.body)
+		if n, err := c.Write(text.Bytes()); err != nil || n < text.Len() {
+			return NeverWritten, nil, false
+		}
+	} else {
+		if _, err := c.Write(text.Bytes()); err != nil {
+			return NeverWritten, nil, false
+		}
+		if n, err := c.Write(h.body); err != nil || n < len(h.body) {
+			return NeverWritten, nil, false
+		}
+	}
+	u.written.Add(1)
+	for range strayAnswers {
+		status, m, err := readAnswerHead(c.reader)
+		if err != nil {
+			return fateOf(brokenOff(a, err, whinknot.Reset)), nil, false
+		}
+		var body []byte
+		if !bodiless(status) {
+			if m.length == untold {
+				return Broken, nil, false
+			}
+			if body, err = readWhole(c.reader, m.length, h.most); err != nil {
+				return fateOf(brokenOff(a, err, whinknot.Reset)), nil, false
+			}
+		}
+		if got := m.header.Get("X-Attempt-Id"); h.id != "" && got != h.id && (got != "" || status < 300) {
+			continue // an answer too many, to an earlier request
+		}
+		keep := m.lasts() && c.reader.Buffered() == 0 && stillOpen(c.Conn)
+		return Whole, &Reply{Status: status, Header: endToEnd(m.header), Body: body}, keep
+	}
+	return Broken, nil, false
+}
+
+func fateOf(o whinknot.Outcome) Fate {
+	switch o {
+	case whinknot.Cancelled:
+		return CalledOff
+	case whinknot.Timeout:
+		return TooLate
+	}
+	return Broken
+}
+
+// Hop is one exchange with a peer: the lines of its head, with what is left of the time, and its body.
+type Hop struct {
+	Head func(left time.Duration) []byte // without a length and the empty line
+	Body []byte
+	Bare bool   // an empty body has no length told
+	ID   string // the peer's answer names it in X-Attempt-Id; "" for any
+	Most int64  // bytes of the answer's body
+}
+
+func (h *Hop) hop() *hop {
+	return &hop{head: h.Head, body: h.Body, get: h.Bare, id: h.ID, most: h.Most}
+}
+
+// Wharf holds the connections to one server that can change its address.
+type Wharf struct{ up *upstream }
+
+// wharfServer is the only server of a Wharf.
+const wharfServer = 1
+
+// NewWharf makes one of at most so many connections; idle ones are closed after a time.
+func NewWharf(most int, idle time.Duration) *Wharf {
+	l := whinknot.Limits{ConnIdle: inMillis(idle) / idlePart}
+	return &Wharf{newUpstream(l, 0, most)}
+}
+
+// Moor tells the address of the server and a number of its life; connections to an earlier one are closed once idle.
+func (w *Wharf) Moor(addr string, life float64) {
+	w.up.list(wharfServer, addr, life, whinknot.Ready)
+}
+
+// Cross carries a hop to the server.
+func (w *Wharf) Cross(ctx context.Context, h *Hop, until time.Time) (Fate, *Reply) {
+	e := w.up.find(wharfServer)
+	if e == nil {
+		return NeverWritten, nil
+	}
+	a := newAttempt(time.Time{})
+	stop := context.AfterFunc(ctx, a.callOff)
+	defer stop()
+	return w.up.cross(a, e, h.hop(), until)
+}
+
+// Close closes the idle connections.
+func (w *Wharf) Close() { w.up.shut() }
+
+// Word is what a crossing to one of a service's servers came to, for the decision module.
+type Word struct {
+	Outcome whinknot.Outcome
+	Reply   *Reply // for the caller; nil for none
+	Own     bool   // it is the server's word of a failure, used if nothing better comes
+	Final   bool   // the request is not to be sent again
+}
+
+// Job is one request that a Service is to have served.
+type Job struct {
+	Class    uint16
+	Due      time.Time // the answer is owed by then
+	Attempts int       // at most; 0 for the settings' limit
+	Worth    float64
+	// Cross has the request carried to a server; through is the way to a remote one.
+	Cross func(a *Crossing) Word
+}
+
+// Crossing is one attempt of a job.
+type Crossing struct {
+	Ctx    context.Context
+	Server string // its name in the list
+	Addr   string
+	Number int // of the attempts before
+	Until  time.Time
+	up     *upstream
+	a      *attempt
+	e      *endpoint
+}
+
+// Over carries a hop to the server.
+func (x *Crossing) Over(h *Hop) (Fate, *Reply) { return x.up.cross(x.a, x.e, h.hop(), x.Until) }
+
+// passage is a request that a job's own crossing carries.
+type passage struct {
+	job      *Job
+	attempts int
+	final    bool
+}
+
+func (p *passage) carry(u *upstream, a *attempt, e *endpoint, until time.Time) (whinknot.Outcome, *answer) {
+	defer a.cancel()
+	u.mu.Lock()
+	uid := e.uid
+	u.mu.Unlock()
+	n := p.attempts
+	p.attempts++
+	w := p.job.Cross(&Crossing{Ctx: a.ctx, Server: uid, Addr: e.addr, Number: n, Until: until, up: u, a: a, e: e})
+	p.final = p.final || w.Final
+	if w.Reply == nil {
+		return w.Outcome, nil
+	}
+	got := w.Reply.answer()
+	got.own = w.Own
+	return w.Outcome, got
+}
+
+func (p *passage) took(sent time.Time) time.Duration { return time.Since(sent) }
+func (p *passage) spent() bool                       { return p.final }
+func (p *passage) endless() bool                     { return false }
+
+// Service is a decision module with its loop, for the servers of one service.
+type Service struct {
+	loop *loop
+	up   *upstream
+}
+
+// Berth is one server of a service.
+type Berth struct {
+	Name, Addr, Zone string
+	Draining         bool
+	Weight           float64
+	Started          time.Time // its life began then; zero for long ago
+}
+
+// NewService makes one that sends by the settings, of at most so many connections, for servers in zones.
+func NewService(set whinknot.Settings, zones []string, seed uint64, most int, learned *whinknot.Memory) (*Service, error) {
+	s := &Service{up: newUpstream(set.Limits, 0, most)}
+	var err error
+	if s.loop, err = newLoop(&Config{Seed: seed, Site: wire.Site{Settings: set, Zones: zones}}, s.up); err != nil {
+		return nil, fmt.Errorf("service: %w", err)
+	}
+	if learned != nil {
+		s.loop.balancer.Import(*learned)
+	}
+	go s.loop.run()
+	return s, nil
+}
+
+// Servers tells all servers; copies and rank are of those that send to them.
+func (s *Service) Servers(berths []Berth, copies, rank int) {
+	list := List{All: true}
+	for _, b := range berths {
+		t := Target{UID: b.Name, Endpoint: b.Addr, Zone: b.Zone, State: "Ready", Weight: b.Weight}
+		if b.Draining {
+			t.State = "Terminating"
+		}
+		if !b.Started.IsZero() {
+			t.BootMS = float64(b.Started.UnixMicro()) / 1000
+		}
+		list.Targets = append(list.Targets, t)
+	}
+	s.loop.post(func() {
+		s.loop.copies, s.loop.rank = copies, rank
+		s.loop.list(list, whinknot.ListFull)
+	})
+}
+
+// Do has a job served and returns the one final answer; ok is false if ctx ended before.
+func (s *Service) Do(ctx context.Context, job *Job) (r Reply, ok bool) {
+	answered := make(chan answer, 1)
+	c := &call{passage: &passage{job: job}, reply: func(a answer) { answered <- a }}
+	c.out.open = true
+	now := time.Now()
+	c.wait = inMillis(job.Due.Sub(now))
+	c.event = whinknot.Event{Class: job.Class, Attempts: job.Attempts, Worth: job.Worth}
+	c.due(s.loop.clock(now))
+	s.loop.post(func() { s.loop.take(c) })
+	select {
+	case a := <-answered:
+		return *replyOf(&a), true
+	case <-ctx.Done():
+		s.loop.post(func() { s.loop.gone(c) })
+		return Reply{}, false
+	case <-s.loop.over:
+		a, ok := lastWord(answered)
+		return *replyOf(&a), ok
+	}
+}
+
+func replyOf(a *answer) *Reply {
+	return &Reply{Status: a.status, Header: a.header, Body: a.body, RetryAfter: a.retryAfter}
+}
+
+// Learned is what the service has learned of its servers.
+func (s *Service) Learned() (m whinknot.Memory) {
+	s.loop.ask(func() { m = s.loop.balancer.Export() })
+	return m
+}
+
+// Retire ends the service once it has no request left, or at a time; it returns then.
+func (s *Service) Retire(by time.Time) {
+	done := make(chan struct{})
+	var look func()
+	look = func() {
+		if len(s.loop.calls) == 0 || time.Now().After(by) {
+			s.loop.giveUpAll()
+			close(done)
+			return
+		}
+		time.AfterFunc(retirePoll, func() { s.loop.post(look) })
+	}
+	s.loop.post(look)
+	<-done
+	close(s.loop.ended)
+	<-s.loop.over
+	s.loop.sending.Wait()
+	s.up.shut()
+	slog.Debug("service ended")
+}
+
+const retirePoll = 50 * time.Millisecond
+
+// WriteLine adds a header line to a head, which is kept to one line whatever it holds.
+func WriteLine(b *bytes.Buffer, name, value string) {
+	writeHeader(b, http.Header{name: {value}}, "")
+}
+
+// WriteLines adds headers to a head.
+func WriteLines(b *bytes.Buffer, h http.Header) { writeHeader(b, h, "") }
+
+// Deadline reads a header that tells how many milliseconds are left; ok is false where that is no time.
+func Deadline(h http.Header, name string) (left time.Duration, told, ok bool) {
+	text := h.Get(name)
+	if text == "" {
+		return 0, false, true
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms > 0) || ms > 1e9 {
+		return 0, true, false
+	}
+	return millis(ms), true, true
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -68,6 +68,7 @@
 // endpoint is one server of the list and the idle connections to it. Its fields are guarded by upstream.mu.
 type endpoint struct {
 	addr    string
+	uid     string // as the list names it
 	started float64
 	ready   bool
 	idle    []*conn // the one used last is at the end
@@ -142,6 +143,15 @@
 	}
 }
 
+// name notes how the list names a server.
+func (u *upstream) name(id uint32, uid string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if e := u.endpoints[id]; e != nil {
+		e.uid = uid
+	}
+}
+
 // closeAll closes the idle connections to one server.
 func (u *upstream) closeAll(id uint32) {
 	u.mu.Lock()
--- /dev/null
+++ b/internal/signal/signal.go
@@ -0,0 +1,124 @@
+// Package signal is the wire between the system's own processes: messages of encoding/gob in bounded frames, over held
+// TCP connections.
+package signal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+var space = errorx.NewNamespace("signal")
+
+var (
+	// Broken is the type of errors of a connection that ended or fell silent.
+	Broken = space.NewType("broken")
+	// Foreign is the type of errors of a peer that sends what cannot be understood.
+	Foreign = space.NewType("foreign")
+)
+
+const (
+	maxFrame  = 16 << 20         // bytes of one message
+	magic     = "milletmast 1\n" // both ends say it first: the version of this wire
+	writeTime = 2 * time.Second
+	dialTime  = 500 * time.Millisecond
+)
+
+// Conn is a held connection. Send may be called from many goroutines, Receive from one.
+type Conn struct {
+	raw     net.Conn
+	in      bytes.Buffer
+	dec     *gob.Decoder
+	silence time.Duration // a peer that says nothing for so long is gone
+
+	mu  sync.Mutex
+	out bytes.Buffer
+	enc *gob.Encoder
+}
+
+// New makes one of a connection; both ends must.
+func New(raw net.Conn, silence time.Duration) (*Conn, error) {
+	c := &Conn{raw: raw, silence: silence}
+	c.dec, c.enc = gob.NewDecoder(&c.in), gob.NewEncoder(&c.out)
+	raw.SetDeadline(time.Now().Add(silence))
+	if _, err := io.WriteString(raw, magic); err != nil {
+		raw.Close()
+		return nil, Broken.Wrap(err, "greeting")
+	}
+	said := make([]byte, len(magic))
+	if _, err := io.ReadFull(raw, said); err != nil {
+		raw.Close()
+		return nil, Broken.Wrap(err, "greeting")
+	}
+	if string(said) != magic {
+		raw.Close()
+		return nil, Foreign.New("the peer speaks another wire: %q", said)
+	}
+	raw.SetDeadline(time.Time{})
+	return c, nil
+}
+
+// Dial connects to a peer.
+func Dial(addr string, silence time.Duration) (*Conn, error) {
+	raw, err := (&net.Dialer{Timeout: min(dialTime, silence), KeepAlive: -1}).Dial("tcp", addr)
+	if err != nil {
+		return nil, Broken.Wrap(err, "dial")
+	}
+	return New(raw, silence)
+}
+
+// Send sends a message; the receiver must expect its type.
+func (c *Conn) Send(message any) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out.Reset()
+	c.out.Write([]byte{0, 0, 0, 0})
+	if err := c.enc.Encode(message); err != nil {
+		c.raw.Close()
+		return Foreign.Wrap(err, "encode")
+	}
+	frame := c.out.Bytes()
+	if len(frame)-4 > maxFrame {
+		c.raw.Close()
+		return Foreign.New("a message of %d bytes is more than %d", len(frame), maxFrame)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
+	c.raw.SetWriteDeadline(time.Now().Add(min(writeTime, c.silence)))
+	if _, err := c.raw.Write(frame); err != nil {
+		c.raw.Close()
+		return Broken.Wrap(err, "send")
+	}
+	return nil
+}
+
+// Receive waits for the next message, for as long as a peer may be silent.
+func (c *Conn) Receive(message any) error {
+	c.raw.SetReadDeadline(time.Now().Add(c.silence))
+	var length [4]byte
+	if _, err := io.ReadFull(c.raw, length[:]); err != nil {
+		return Broken.Wrap(err, "receive")
+	}
+	n := binary.BigEndian.Uint32(length[:])
+	if n > maxFrame {
+		return Foreign.New("a message of %d bytes is more than %d", n, maxFrame)
+	}
+	if _, err := io.CopyN(&c.in, c.raw, int64(n)); err != nil {
+		return Broken.Wrap(err, "receive")
+	}
+	if err := c.dec.Decode(message); err != nil {
+		return Foreign.Wrap(err, "decode")
+	}
+	return nil
+}
+
+// Peer is the address of the other end.
+func (c *Conn) Peer() string { return c.raw.RemoteAddr().String() }
+
+// Close ends the connection; Receive and Send return then.
+func (c *Conn) Close() { c.raw.Close() }
