Send to the own zone first: pilots count alike, open what they need, and a full gate is no illness

Cause: three figures of the module are meant for copies that see hundreds of requests a second and pay for each connection. With one call out a server counted as not connected, so the next call went to another zone; the share of each copy began at two calls out; a gate whose slots were taken counted as a failure and three of these cut the server.

Change: streams between pilots are not counted (Streams 1024), copies are the zones (the gate counts exactly what all pilots send), a request that a gate turned away as full or cold counts as not sent.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -19,17 +19,18 @@
 )
 
 const (
-	aimPart    = 0.25 // of its aim that a request may wait at a gate without having been offered
-	usualAim   = 500 * time.Millisecond
-	usualTime  = 5 * time.Second
-	moreTries  = 3   // attempts beyond those that may reach an endpoint: gates turn some away
-	coldFrom   = 0.3 // share of its capacity that a cold endpoint is taken to bear at first
-	backPart   = 0.25
-	lateWorth  = 0.3
-	retireTime = 30 * time.Second
-	sameCold   = time.Second
-	pilotIdle  = 15 * time.Second
-	topWorth   = 4.0
+	aimPart     = 0.25 // of its aim that a request may wait at a gate without having been offered
+	usualAim    = 500 * time.Millisecond
+	usualTime   = 5 * time.Second
+	moreTries   = 3   // attempts beyond those that may reach an endpoint: gates turn some away
+	coldFrom    = 0.3 // share of its capacity that a cold endpoint is taken to bear at first
+	backPart    = 0.25
+	lateWorth   = 0.3
+	retireTime  = 30 * time.Second
+	sameCold    = time.Second
+	pilotIdle   = 15 * time.Second
+	topWorth    = 4.0
+	manyStreams = 1024 // connections between pilots are opened as they are needed: the gate counts those to endpoints
 )
 
 // fairway is the way to one service: its decision module, and the endpoints that it is told of.
@@ -42,6 +43,7 @@
 	classes []classKey
 	warmup  time.Duration
 	copies  int
+	pilots  int
 	rank    int
 	berths  []sidecar.Berth
 	lives   map[string]*life // by name of the life
@@ -66,7 +68,7 @@
 
 func newFairway(p *Pilot, name string) *fairway {
 	b := &p.s.Bounds
-	return &fairway{p: p, name: name, copies: 1, lives: map[string]*life{}, ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
+	return &fairway{p: p, name: name, copies: 1, pilots: 1, lives: map[string]*life{}, ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
 }
 
 func keyOf(r *chart.Route) classKey {
@@ -103,7 +105,7 @@
 	zones := f.zones()
 	set := whinknot.Settings{
 		Copies: f.copies, Rank: f.rank, Zone: slices.Index(zones, s.Zone),
-		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, ConnIdle: float64(pilotIdle.Milliseconds())},
+		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, Streams: manyStreams, ConnIdle: float64(pilotIdle.Milliseconds())},
 		Safety: whinknot.Safety{ColdFrom: coldFrom, Ramp: float64(f.warmup.Milliseconds())},
 	}
 	for _, k := range f.classes {
@@ -150,19 +152,13 @@
 	zones := f.zones()
 	lives := map[string]*life{}
 	var berths []sidecar.Berth
-	copies, rank, before := 0, 0, 0
+	copies := 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range nodes {
 		n := &nodes[i]
 		if !n.Dark {
 			copies++
-			if n.Zone == p.s.Zone {
-				if n.Node == p.s.Node {
-					rank = before
-				}
-				before++
-			}
 		}
 		e := n.Endpoint
 		if e == nil || e.Target != f.name || e.State == beacon.Gone {
@@ -184,8 +180,9 @@
 		berths = append(berths, b)
 	}
 	f.lives, f.berths = lives, berths
-	f.copies = max(copies, 1)
-	f.rank = rank*max(len(zones), 1) + max(slices.Index(zones, p.s.Zone), 0)
+	f.pilots = max(copies, 1)
+	f.copies = max(len(zones), 1) // the gate counts exactly: a copy need not keep to its part of a server
+	f.rank = max(slices.Index(zones, p.s.Zone), 0)
 	if f.service != nil {
 		f.service.Servers(berths, f.copies, f.rank)
 	}
@@ -297,7 +294,7 @@
 	own := l != nil && l.own
 	may := t.arrived == 0
 	if l != nil && t.arrived > 0 && t.arrived < t.r.Tries {
-		may = f.ration.Repeat(time.Now(), f.p.s.Bounds.RetrySlack/float64(f.copies))
+		may = f.ration.Repeat(time.Now(), f.p.s.Bounds.RetrySlack/float64(f.pilots))
 	}
 	f.mu.Unlock()
 	if l == nil {
@@ -343,8 +340,8 @@
 // meaning turns what is certain of an attempt into what the module is told.
 func (t *trip) meaning(word string, r *sidecar.Reply, life string) sidecar.Word {
 	if v, ok := strings.CutPrefix(word, wordTurned); ok {
-		if v == pier.Full.String() || v == pier.Cold.String() {
-			return sidecar.Word{Outcome: whinknot.Full}
+		if v == pier.Full.String() || v == pier.Cold.String() { // it is at work, not ill
+			return sidecar.Word{Outcome: whinknot.NotSent}
 		}
 		t.f.p.post(func() { t.f.p.shun(life) })
 		return sidecar.Word{Outcome: whinknot.NotSent}
