Have the set of disks that counts change: one duty, terms, one disk at a time (internal/helm)

Cause: the set was the first one for good.

Change: one keeper changes the set. It has the duty for a term that a majority of disks promised; it names its successor when it is told to end. Before each step it collects all entries from a majority that goes by the present set and spreads them; the next set, other by one disk, is accepted by a majority. An emptied disk has another name, so its old one is known to be gone.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"whinknot/internal/berth"
+	"whinknot/internal/helm"
 	"whinknot/internal/logbook"
 	"whinknot/internal/shore"
 	"whinknot/internal/signal"
@@ -54,7 +55,8 @@
 	peers    map[string]*peer      // by address
 	boats    map[*boat]bool        // lighthouses
 	lastTold *InForce
-	duty     duty
+	duty     *helm.Machine
+	changing bool // the holder changes the set
 	running  sync.WaitGroup
 	listener net.Listener
 	ctx      context.Context
@@ -120,14 +122,11 @@
 		return Start.Wrap(err, "entries")
 	}
 	k.copy = tide.NewCopy(held)
-	k.me = tide.Member{Node: k.s.Node, Addr: Address(k.s.IP, k.s), Zone: k.s.Zone}
+	k.me = tide.Member{Node: k.s.Node, Addr: Address(k.s.IP, k.s), Zone: k.s.Zone, Counts: k.s.InQuorum}
 	known, err := k.book.Get(diskRecord, &k.me.Disk)
 	if err == nil {
 		_, err = k.book.Get(setRecord, &k.set)
 	}
-	if err == nil {
-		err = k.recallDuty()
-	}
 	if err != nil {
 		return Start.Wrap(err, "records")
 	}
@@ -145,6 +144,9 @@
 			}
 		}
 	}
+	if err := k.recallDuty(); err != nil {
+		return Start.Wrap(err, "duty")
+	}
 	k.log.Info().Str("disk", k.me.Disk).Bool("empty", !known).Uint64("set", k.set.Number).Int("entries", len(held)).Msg("disk opened")
 	return nil
 }
@@ -330,6 +332,7 @@
 // told hears the answer to an ask.
 func (k *Keeper) told(p *peer, t *Tell) {
 	p.heard, p.member, p.set = time.Now(), t.From, t.Set.Number
+	p.met = p.heard
 	k.adopt(&t.Set)
 	if f := p.asks[t.ID]; f != nil {
 		delete(p.asks, t.ID)
@@ -370,7 +373,6 @@
 		if t == nil {
 			return
 		}
-		k.dutyHeard(t)
 		k.mend(t.Entries)
 		if len(t.Ranges) > 0 {
 			if mine := k.copy.Within(t.Ranges); len(mine) > 0 {
--- a/internal/keeper/talk.go
+++ b/internal/keeper/talk.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"slices"
 
+	"whinknot/internal/helm"
 	"whinknot/internal/tide"
 )
 
@@ -38,21 +39,19 @@
 	Duty    *DutyTell
 }
 
-// DutyAsk and DutyTell carry the duty of changing the set of disks.
+// DutyAsk is about the duty of changing the set of disks (package helm).
 type DutyAsk struct {
-	Term     uint64
-	Holder   string    // the disk that has the duty, or wants it
-	Promise  bool      // it wants it
-	Accept   *tide.Set // the next set, of this term
-	Takeover bool      // the one asked is named as the successor
+	Term    uint64
+	Holder  string    // the disk that has the duty, or asks for it
+	Promise bool      // it asks for it
+	Accept  *tide.Set // the next set, of this term
+	Succeed bool      // the one that is told is to ask for the duty now
 }
 
 // DutyTell answers it.
 type DutyTell struct {
-	Term     uint64 // the highest that was promised
-	Granted  bool
-	Accepted *tide.Set // accepted for the next number in an earlier term
-	In       uint64    // that term
+	Granted bool
+	Vow     helm.Vow
 }
 
 // Order is what a lighthouse has its keeper do.
--- a/internal/shore/shore.go
+++ b/internal/shore/shore.go
@@ -28,7 +28,12 @@
 
 // Log makes a log of one line of key=value pairs an event.
 func Log(to io.Writer, program, node string) zerolog.Logger {
-	plain := func(i any) string { return fmt.Sprint(i) }
+	plain := func(i any) string {
+		if text, ok := i.([]byte); ok { // zerolog hands truths and lists over as their text
+			return string(text)
+		}
+		return fmt.Sprint(i)
+	}
 	w := zerolog.ConsoleWriter{
 		Out: to, NoColor: true, TimeFormat: time.RFC3339Nano,
 		FormatTimestamp:  func(i any) string { return "time=" + plain(i) },
--- a/internal/tide/tide.go
+++ b/internal/tide/tide.go
@@ -125,6 +125,8 @@
 	Node string
 	Addr string // of its keeper
 	Zone string
+	// Counts tells whether the platform counts the machine among those whose loss is bounded.
+	Counts bool
 }
 
 // Set is the disks that count, and whether the one in force is being changed to another by one disk.
