Say less between zones: digests of one number, sets by number, configurations once

Change: keepers look by one number and compare ranges only where it differs; who asks and the set are told whole once; a pilot is connected to a lighthouse of its own zone first, and that one alone sends configurations whole unasked. Lighthouses vouch for pilots by marks of 8 bytes each second.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"whinknot/internal/spread"
 )
 
 // State is what an endpoint says of itself.
@@ -81,6 +83,21 @@
 	return r.Vouch(now, s.Node, s.Life)
 }
 
+// Mark is one number for a life of a pilot.
+func Mark(node string, life uint64) uint64 { return spread.Mix(spread.Name(node) ^ life) }
+
+// Marked are the nodes whose lives have the marks.
+func (r *Registry) Marked(marks []uint64) []string {
+	var out []string
+	for node, rec := range r.nodes {
+		if slices.Contains(marks, Mark(node, rec.Life)) {
+			out = append(out, node)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Vouch notes that a life of a pilot was heard of, and tells whether it was dark before.
 func (r *Registry) Vouch(now time.Time, node string, life uint64) bool {
 	rec := r.nodes[node]
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -52,6 +52,7 @@
 	set      tide.Set
 	copy     *tide.Copy
 	settled  map[string]tide.Stamp // by key, the newest version that a majority is known to hold
+	settles  uint64                // counts changes of that
 	peers    map[string]*peer      // by address
 	boats    map[*boat]bool        // lighthouses
 	lastTold *InForce
@@ -74,6 +75,8 @@
 	asks   map[uint64]func(*Tell)
 	lastID uint64
 	set    uint64 // number of the set that it goes by
+	knows  bool   // it was told who asks, on this connection
+	told   uint64 // count of what was settled, as it was told
 	end    chan struct{}
 }
 
@@ -269,7 +272,7 @@
 		if err == nil && k.hold(conn) {
 			hello := Hello{Keeper: &k.me}
 			if err = conn.Send(&hello); err == nil {
-				k.post(func() { p.conn = conn; k.look(p) })
+				k.post(func() { p.conn, p.knows, p.told, p.set = conn, false, 0, 0; k.look(p) })
 				for err == nil {
 					var t Tell
 					if err = conn.Receive(&t); err == nil {
@@ -316,6 +319,15 @@
 	}
 	p.lastID++
 	a.ID, a.From, a.Set = p.lastID, k.me, k.set
+	if p.knows {
+		a.From = tide.Member{Disk: k.me.Disk}
+	}
+	if p.set >= k.set.Number {
+		a.Set = tide.Set{Number: k.set.Number}
+	}
+	if p.told != k.settles {
+		a.Settled, p.told = k.known(), k.settles
+	}
 	id, conn := a.ID, p.conn
 	p.asks[id] = then
 	k.running.Go(func() { conn.Send(&a) })
@@ -331,8 +343,12 @@
 
 // told hears the answer to an ask.
 func (k *Keeper) told(p *peer, t *Tell) {
-	p.heard, p.member, p.set = time.Now(), t.From, t.Set.Number
+	p.heard, p.set = time.Now(), t.Set.Number
 	p.met = p.heard
+	if t.From.Addr != "" {
+		p.member, p.knows = t.From, true
+	}
+	t.From = p.member
 	k.adopt(&t.Set)
 	if f := p.asks[t.ID]; f != nil {
 		delete(p.asks, t.ID)
@@ -345,7 +361,7 @@
 
 // adopt goes by a set that follows the one gone by so far.
 func (k *Keeper) adopt(s *tide.Set) {
-	if s.Number <= k.set.Number {
+	if s.Number <= k.set.Number || len(s.Members) == 0 {
 		return
 	}
 	if err := k.book.Put(setRecord, *s); err != nil {
@@ -368,8 +384,17 @@
 
 // look compares with a peer, and mends from it what is newer there.
 func (k *Keeper) look(p *peer) {
+	k.ask(p, Ask{Digest: k.copy.Digest(), Duty: k.dutySign()}, func(t *Tell) {
+		if t != nil && t.Differs {
+			k.compare(p)
+		}
+	})
+}
+
+// compare has a peer tell what it holds in the ranges that differ, and tells it in turn.
+func (k *Keeper) compare(p *peer) {
 	d := k.copy.Digests()
-	k.ask(p, Ask{Digests: &d, Settled: k.known(), Duty: k.dutySign()}, func(t *Tell) {
+	k.ask(p, Ask{Digests: &d}, func(t *Tell) {
 		if t == nil {
 			return
 		}
@@ -395,6 +420,7 @@
 func (k *Keeper) settle(key string, s tide.Stamp) {
 	if old, ok := k.settled[key]; !ok || s.Compare(old) > 0 {
 		k.settled[key] = s
+		k.settles++
 		k.tell()
 	}
 }
@@ -482,7 +508,14 @@
 func (k *Keeper) answer(a *Ask) *Tell {
 	k.adopt(&a.Set)
 	t := &Tell{ID: a.ID, From: k.me, Behind: a.Set.Number < k.set.Number}
-	t.Set = k.set
+	t.Set = tide.Set{Number: k.set.Number}
+	if t.Behind {
+		t.Set = k.set
+	}
+	if a.From.Addr == "" {
+		t.From = tide.Member{Disk: k.me.Disk}
+	}
+	t.Differs = a.Digest != 0 && a.Digest != k.copy.Digest()
 	for _, h := range a.Settled {
 		if e, ok := k.copy.Get(h.Key); ok && e.Stamp.Compare(h.Stamp) == 0 {
 			k.settle(h.Key, h.Stamp)
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -239,7 +239,7 @@
 // spread tells every peer at once what a majority holds.
 func (k *Keeper) spread() {
 	for _, p := range k.peers {
-		k.ask(p, Ask{Settled: k.known()}, func(*Tell) {})
+		k.ask(p, Ask{}, func(*Tell) {})
 	}
 }
 
--- a/internal/keeper/talk.go
+++ b/internal/keeper/talk.go
@@ -11,12 +11,13 @@
 // Ask is what one keeper asks of another.
 type Ask struct {
 	ID      uint64
-	From    tide.Member
-	Set     tide.Set     // that the asker goes by
-	Settled []Held       // what the asker knows a majority to hold
+	From    tide.Member  // whole in the first ask of a connection, then its disk alone
+	Set     tide.Set     // that the asker goes by; its members only if the other may not know them
+	Settled []Held       // what the asker knows a majority to hold, as far as the other has not been told
 	Offer   []tide.Entry // to be held
 	Collect []string     // keys whose entries are asked for
 	All     bool         // every entry is asked for
+	Digest  uint64       // of everything the asker holds; 0 for not told
 	Digests *[tide.Ranges]uint64
 	Duty    *DutyAsk
 }
@@ -30,8 +31,9 @@
 // Tell is the answer to an Ask.
 type Tell struct {
 	ID      uint64
-	From    tide.Member
-	Set     tide.Set
+	From    tide.Member  // as in the ask
+	Set     tide.Set     // its members only if the asker goes by an older one
+	Differs bool         // this one's digest of everything is another
 	Behind  bool         // the asker goes by an older set: nothing of this counts
 	Stored  bool         // all that was offered is held as it was
 	Entries []tide.Entry // what was asked for, or what is held instead
--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -15,13 +15,17 @@
 // Hello is the first message of a connection to a lighthouse.
 type Hello struct {
 	Pilot      string // the node of a pilot
-	Lighthouse string // or of another lighthouse
+	Lighthouse string // or of another lighthouse, by its address
+	Zone       string // of that
 }
 
 // Up is what a pilot says.
 type Up struct {
 	Sheet *beacon.Sheet // if it has changed
 	Ack   uint64        // the number of the last change it goes by
+	Holds uint64        // the version of the configuration it goes by
+	Main  bool          // configurations are to be sent to it whole, before it asks
+	Want  bool          // it lacks the configuration that it was told the version of
 }
 
 // Down is what a lighthouse says to a pilot. Without a number it only says that it is there.
@@ -31,27 +35,25 @@
 	Nodes   []beacon.Known
 	Gone    []string // nodes forgotten
 	InForce *keeper.InForce
-	Core    []string // machines of the core, by address
-	Sighted bool     // this lighthouse sees most of the core: what it calls dark is dark
+	Core    []Machine // machines of the core
+	Sighted bool      // this lighthouse sees most of the core: what it calls dark is dark
 }
 
 // Across is what lighthouses say to each other.
 type Across struct {
 	Sheets []beacon.Sheet
-	Vouch  []Vouch  // for pilots that hold a connection to this one
-	Core   []string // machines of the core that this one knows
+	Vouch  []uint64  // marks of pilots that hold a connection to this one (beacon.Mark)
+	Core   []Machine // machines of the core that this one knows
 }
 
-// Vouch names a life of a pilot.
-type Vouch struct {
-	Node string
-	Life uint64
-}
+// Machine is one of the core.
+type Machine struct{ IP, Zone string }
 
 // Chartroom is what one pilot holds of the news of several lighthouses. It is not safe for concurrent use.
 type Chartroom struct {
 	views   map[string]map[string]beacon.Known // by lighthouse, by node
 	sighted map[string]bool
+	newest  map[string]uint64 // by lighthouse, the version that it named last
 	nodes   map[string]*entry
 	config  []byte
 	version uint64
@@ -68,7 +70,7 @@
 // does not know all yet.
 func NewChartroom(keep time.Duration) *Chartroom {
 	return &Chartroom{
-		views: map[string]map[string]beacon.Known{}, sighted: map[string]bool{}, nodes: map[string]*entry{},
+		views: map[string]map[string]beacon.Known{}, sighted: map[string]bool{}, newest: map[string]uint64{}, nodes: map[string]*entry{},
 		zones: map[string]keeper.Evacuation{}, keep: keep,
 	}
 }
@@ -92,6 +94,7 @@
 	}
 	ch.Nodes = c.Merge(now)
 	if d.InForce != nil {
+		c.newest[from] = d.InForce.Version
 		more := c.Ordered(d.InForce)
 		ch.Config, ch.Zones = more.Config, more.Zones
 	}
@@ -177,6 +180,9 @@
 // Config is the configuration held, and its version; 0 for none.
 func (c *Chartroom) Config() ([]byte, uint64) { return c.config, c.version }
 
+// Lacks tells whether a lighthouse named a higher version than the one held.
+func (c *Chartroom) Lacks(from string) bool { return c.newest[from] > c.version }
+
 // Evacuated tells whether a zone is to get nothing.
 func (c *Chartroom) Evacuated(zone string) bool { return c.zones[zone].On }
 
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -3,6 +3,7 @@
 package lighthouse
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -31,7 +32,8 @@
 const (
 	pulse      = 500 * time.Millisecond  // between two words to each pilot and lighthouse
 	silence    = 1800 * time.Millisecond // after which a connection counts as dead
-	darkAfter  = 2 * time.Second         // a pilot that nobody has heard of
+	vouchTicks = 2                       // pulses from one vouching for all pilots to the next
+	darkAfter  = 2500 * time.Millisecond // a pilot that nobody has heard of
 	forget     = 30 * time.Second
 	batch      = 10 * time.Millisecond  // changes of so long are pushed together
 	ackWait    = 250 * time.Millisecond // an order waits so long at most for pilots to say that they go by it
@@ -48,13 +50,14 @@
 
 	registry *beacon.Registry
 	pilots   map[*link]bool
-	sisters  map[string]*link // by the address of their machine; nil while there is no connection
-	core     map[string]time.Time
+	sisters  map[string]*link    // by the address of their machine; nil while there is no connection
+	core     map[string]*machine // by address
 	store    *store
 	inForce  *keeper.InForce
 	changed  map[string]bool // nodes to be pushed
 	across   map[string]bool // nodes to be told to other lighthouses
 	pushing  bool
+	ticks    int
 	waits    []*wait
 
 	running sync.WaitGroup
@@ -75,12 +78,20 @@
 	acked  uint64
 	last   time.Time // something was sent
 	sight  bool      // as last told
-	order  uint64    // version of the last configuration told
+	main   bool      // configurations are sent to it whole
+	holds  uint64    // version that it goes by
+}
+
+// machine is one of the core.
+type machine struct {
+	zone string
+	at   time.Time // it was reached, or named
 }
 
 // wait is an order that waits for pilots.
 type wait struct {
 	until map[*link]uint64
+	holds uint64
 	then  func()
 }
 
@@ -97,7 +108,7 @@
 	l := &Lighthouse{
 		s: s, log: log, mail: make(chan func(), 512), over: make(chan struct{}),
 		registry: beacon.NewRegistry(beacon.Limits{Dark: darkAfter, Forget: forget}),
-		pilots:   map[*link]bool{}, sisters: map[string]*link{}, core: map[string]time.Time{}, changed: map[string]bool{},
+		pilots:   map[*link]bool{}, sisters: map[string]*link{}, core: map[string]*machine{}, changed: map[string]bool{},
 		across: map[string]bool{}, conns: map[*signal.Conn]bool{},
 	}
 	var err error
@@ -189,20 +200,21 @@
 func (l *Lighthouse) meetSeeds() {
 	for _, seed := range l.s.Seeds {
 		if ip, _, err := net.SplitHostPort(seed); err == nil {
-			l.meet(ip)
+			l.meet(ip, "")
 		}
 	}
 }
 
 // meet gets to know a machine of the core, and holds a connection to its lighthouse from now on.
-func (l *Lighthouse) meet(ip string) {
+func (l *Lighthouse) meet(ip, zone string) {
 	if ip == l.s.IP || ip == "" {
 		return
 	}
-	if _, known := l.sisters[ip]; known {
+	if m := l.core[ip]; m != nil {
+		m.zone = cmp.Or(zone, m.zone)
 		return
 	}
-	l.sisters[ip], l.core[ip] = nil, time.Now()
+	l.sisters[ip], l.core[ip] = nil, &machine{zone, time.Now()}
 	l.running.Go(func() { l.follow(ip) })
 }
 
@@ -212,9 +224,9 @@
 		conn, err := signal.Dial(Address(ip, l.s), silence)
 		if err == nil && l.hold(conn) {
 			k := &link{conn: conn, out: make(chan any, queue), node: ip}
-			if conn.Send(&lamp.Hello{Lighthouse: l.s.IP}) == nil {
+			if conn.Send(&lamp.Hello{Lighthouse: l.s.IP, Zone: l.s.Zone}) == nil {
 				l.post(func() {
-					l.sisters[ip], l.core[ip] = k, time.Now()
+					l.sisters[ip], l.core[ip].at = k, time.Now()
 					l.say(k, l.wholeAcross())
 				})
 				l.running.Go(func() { l.write(k) })
@@ -285,15 +297,11 @@
 		return
 	}
 	if h.Lighthouse != "" {
-		l.serveSister(conn, h.Lighthouse)
+		l.serveSister(conn, h.Lighthouse, h.Zone)
 		return
 	}
 	k := &link{conn: conn, out: make(chan any, queue), node: h.Pilot}
 	l.running.Go(func() { l.write(k) })
-	l.post(func() {
-		l.pilots[k] = true
-		l.push(k, l.wholePicture())
-	})
 	for {
 		var up lamp.Up
 		if err := conn.Receive(&up); err != nil {
@@ -312,8 +320,8 @@
 }
 
 // serveSister hears another lighthouse.
-func (l *Lighthouse) serveSister(conn *signal.Conn, ip string) {
-	l.post(func() { l.meet(ip) })
+func (l *Lighthouse) serveSister(conn *signal.Conn, ip, zone string) {
+	l.post(func() { l.meet(ip, zone) })
 	alive := time.NewTicker(pulse)
 	defer alive.Stop()
 	done := make(chan struct{})
@@ -342,6 +350,14 @@
 // heard takes what a pilot says.
 func (l *Lighthouse) heard(k *link, up *lamp.Up) {
 	now := time.Now()
+	k.holds, k.main = up.Holds, up.Main
+	if !l.pilots[k] {
+		l.pilots[k] = true
+		l.push(k, l.wholePicture(k))
+	}
+	if f := l.inForce; up.Want && f != nil && f.Version > k.holds {
+		l.push(k, lamp.Down{InForce: f, Sighted: l.sighted()})
+	}
 	if up.Sheet != nil && up.Sheet.Node == k.node {
 		k.life = up.Sheet.Life
 		if l.registry.Put(now, *up.Sheet) {
@@ -358,19 +374,21 @@
 // heardAcross takes what another lighthouse says.
 func (l *Lighthouse) heardAcross(ip string, a *lamp.Across) {
 	now := time.Now()
-	l.core[ip] = now
+	if m := l.core[ip]; m != nil {
+		m.at = now
+	}
 	for _, s := range a.Sheets {
 		if l.registry.Put(now, s) {
 			l.note(s.Node)
 		}
 	}
-	for _, v := range a.Vouch {
-		if l.registry.Vouch(now, v.Node, v.Life) {
-			l.note(v.Node)
+	for _, node := range l.registry.Marked(a.Vouch) {
+		if k, ok := l.registry.Get(node); ok && l.registry.Vouch(now, node, k.Life) {
+			l.note(node)
 		}
 	}
 	for _, other := range a.Core {
-		l.meet(other)
+		l.meet(other.IP, other.Zone)
 	}
 }
 
@@ -420,8 +438,19 @@
 }
 
 // wholePicture is everything that a pilot is told at first.
-func (l *Lighthouse) wholePicture() lamp.Down {
-	return lamp.Down{Whole: true, Nodes: l.registry.All(), InForce: l.inForce, Core: l.machines(), Sighted: l.sighted()}
+func (l *Lighthouse) wholePicture(k *link) lamp.Down {
+	return lamp.Down{Whole: true, Nodes: l.registry.All(), InForce: l.orderFor(k), Core: l.machines(), Sighted: l.sighted()}
+}
+
+// orderFor is what is in force, for a pilot: one that has the configuration, or will have it from another lighthouse, is
+// told its version alone.
+func (l *Lighthouse) orderFor(k *link) *keeper.InForce {
+	if l.inForce == nil || k.main && k.holds < l.inForce.Version {
+		return l.inForce
+	}
+	f := *l.inForce
+	f.Config = nil
+	return &f
 }
 
 func (l *Lighthouse) wholeAcross() *lamp.Across {
@@ -436,14 +465,14 @@
 func (l *Lighthouse) sighted() bool { return l.inForce != nil && l.inForce.Settled }
 
 // machines are those of the core that answered of late, this one among them.
-func (l *Lighthouse) machines() []string {
-	out := []string{l.s.IP}
-	for ip, at := range l.core {
-		if time.Since(at) < forget {
-			out = append(out, ip)
+func (l *Lighthouse) machines() []lamp.Machine {
+	out := []lamp.Machine{{IP: l.s.IP, Zone: l.s.Zone}}
+	for ip, m := range l.core {
+		if time.Since(m.at) < forget {
+			out = append(out, lamp.Machine{IP: ip, Zone: m.zone})
 		}
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, func(a, b lamp.Machine) int { return cmp.Compare(a.IP, b.IP) })
 	return out
 }
 
@@ -463,14 +492,16 @@
 		}
 	}
 	a := lamp.Across{}
-	for k := range l.pilots {
-		if k.life != 0 {
-			a.Vouch = append(a.Vouch, lamp.Vouch{Node: k.node, Life: k.life})
+	if l.ticks++; l.ticks%vouchTicks == 0 {
+		for k := range l.pilots {
+			if k.life != 0 {
+				a.Vouch = append(a.Vouch, beacon.Mark(k.node, k.life))
+			}
 		}
 	}
-	for _, k := range l.sisters {
+	for ip, k := range l.sisters {
 		if k != nil {
-			l.core[k.node] = now
+			l.core[ip].at = now
 			l.say(k, &a)
 		}
 	}
@@ -484,15 +515,18 @@
 		return
 	}
 	for k := range l.pilots {
-		l.push(k, lamp.Down{InForce: f, Sighted: f.Settled, Core: l.machines()})
+		l.push(k, lamp.Down{InForce: l.orderFor(k), Sighted: f.Settled, Core: l.machines()})
 	}
 }
 
 // afterPilots runs then once all pilots that are connected go by what was pushed to them so far, or after a while.
 func (l *Lighthouse) afterPilots(then func()) {
 	w := &wait{until: map[*link]uint64{}, then: then}
+	if l.inForce != nil {
+		w.holds = l.inForce.Version
+	}
 	for k := range l.pilots {
-		if k.acked < k.pushed {
+		if k.acked < k.pushed || l.inForce != nil && k.holds < l.inForce.Version {
 			w.until[k] = k.pushed
 		}
 	}
@@ -507,7 +541,7 @@
 // acks ends the waits that a pilot was the last one for.
 func (l *Lighthouse) acks(k *link) {
 	for _, w := range slices.Clone(l.waits) {
-		if n, ok := w.until[k]; ok && (k.acked >= n || !l.pilots[k]) {
+		if n, ok := w.until[k]; ok && (k.acked >= n && k.holds >= w.holds || !l.pilots[k]) {
 			delete(w.until, k)
 			if len(w.until) == 0 {
 				l.endWait(w)
--- a/internal/lighthouse/store.go
+++ b/internal/lighthouse/store.go
@@ -75,7 +75,7 @@
 		s.l.ordered(w.InForce)
 	}
 	for _, m := range w.Core {
-		s.l.meet(host(m.Addr))
+		s.l.meet(host(m.Addr), m.Zone)
 	}
 	if r := w.Result; r != nil {
 		if then := s.orders[r.ID]; then != nil {
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -1,6 +1,7 @@
 package pilot
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"time"
@@ -18,13 +19,15 @@
 	linkSilence = 1500 * time.Millisecond
 	linkCount   = 3 // lighthouses that are connected to at once
 	retryAfter  = 250 * time.Millisecond
+	wantAfter   = 60 * time.Millisecond // the nearest lighthouse has sent a configuration by then
+	wantAgain   = 300 * time.Millisecond
 )
 
 // links are the held connections to lighthouses. They belong to the pilot's loop.
 type links struct {
 	p      *Pilot
 	s      *berth.Settings
-	known  map[string]time.Time // machines of the core, and when they were last named or reached
+	known  map[string]string // zones of the machines of the core; "" where it is not known
 	active map[string]*link
 	failed map[string]time.Time // not to be tried before
 }
@@ -38,7 +41,7 @@
 }
 
 func newLinks(p *Pilot) *links {
-	return &links{p: p, s: p.s, known: map[string]time.Time{}, active: map[string]*link{}, failed: map[string]time.Time{}}
+	return &links{p: p, s: p.s, known: map[string]string{}, active: map[string]*link{}, failed: map[string]time.Time{}}
 }
 
 func (l *links) meetSeeds() { l.p.post(func() { l.settings(l.s) }) }
@@ -48,7 +51,9 @@
 	l.s = s
 	for _, seed := range s.Seeds {
 		if ip, _, err := net.SplitHostPort(seed); err == nil {
-			l.known[ip] = time.Now()
+			if _, ok := l.known[ip]; !ok {
+				l.known[ip] = ""
+			}
 		}
 	}
 	l.tick()
@@ -61,11 +66,14 @@
 		out = append(out, ip)
 	}
 	rank := func(ip string) uint64 { return spread.Name(ip + "|" + l.s.Node) }
-	slices.SortFunc(out, func(a, b string) int {
-		if rank(a) < rank(b) {
-			return -1
+	far := func(ip string) int {
+		if l.known[ip] == l.s.Zone {
+			return 0
 		}
 		return 1
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(rank(a), rank(b)))
 	})
 	return out
 }
@@ -73,7 +81,8 @@
 // tick opens connections while there are too few, and says on each that this pilot is there.
 func (l *links) tick() {
 	now := time.Now()
-	for _, ip := range l.order() {
+	order := l.order()
+	for _, ip := range order {
 		if len(l.active) >= linkCount {
 			break
 		}
@@ -81,13 +90,44 @@
 			l.open(ip)
 		}
 	}
+	l.nearer(order, now)
 	for _, k := range l.active {
 		if k.conn != nil && now.Sub(k.last) >= linkPulse-lookEvery/2 {
-			l.send(k, &lamp.Up{Ack: k.ack})
+			l.send(k, l.up(k))
+		}
+	}
+}
+
+// nearer gives up the farthest connection, if there is none to a machine of the own zone that could be had.
+func (l *links) nearer(order []string, now time.Time) {
+	if len(order) == 0 || l.known[order[0]] != l.s.Zone || l.active[order[0]] != nil || now.Before(l.failed[order[0]]) || len(l.active) < linkCount {
+		return
+	}
+	for _, ip := range slices.Backward(order) {
+		if k := l.active[ip]; k != nil && k.conn != nil {
+			l.open(order[0])
+			k.conn.Close()
+			return
 		}
 	}
 }
 
+// main is the lighthouse that sends configurations whole: the nearest one that there is a connection to.
+func (l *links) main() string {
+	for _, ip := range l.order() {
+		if k := l.active[ip]; k != nil && k.conn != nil {
+			return ip
+		}
+	}
+	return ""
+}
+
+// up is what every word to a lighthouse says.
+func (l *links) up(k *link) *lamp.Up {
+	_, version := l.p.room.Config()
+	return &lamp.Up{Ack: k.ack, Holds: version, Main: k.ip == l.main()}
+}
+
 func (l *links) open(ip string) {
 	k := &link{ip: ip, out: make(chan *lamp.Up, 64)}
 	l.active[ip] = k
@@ -123,7 +163,9 @@
 		p.post(func() {
 			k.conn = conn
 			sheet := p.sheet
-			l.send(k, &lamp.Up{Sheet: &sheet})
+			up := l.up(k)
+			up.Sheet = &sheet
+			l.send(k, up)
 		})
 		for {
 			var d lamp.Down
@@ -154,23 +196,38 @@
 func (l *links) say(s beacon.Sheet) {
 	for _, k := range l.active {
 		if k.conn != nil {
-			l.send(k, &lamp.Up{Sheet: &s, Ack: k.ack})
+			up := l.up(k)
+			up.Sheet = &s
+			l.send(k, up)
 		}
 	}
 }
 
 // hear takes news and acknowledges it.
 func (l *links) hear(k *link, d *lamp.Down) {
-	for _, ip := range d.Core {
-		l.known[ip] = time.Now()
+	for _, m := range d.Core {
+		l.known[m.IP] = m.Zone
 	}
 	l.p.news(l.p.room.Hear(time.Now(), k.ip, d))
 	if d.Number > 0 {
 		k.ack = d.Number
 		if k.conn != nil {
-			l.send(k, &lamp.Up{Ack: k.ack})
+			l.send(k, l.up(k))
 		}
 	}
+	if l.p.room.Lacks(k.ip) {
+		time.AfterFunc(wantAfter, func() { l.p.post(func() { l.want(k) }) })
+	}
+}
+
+// want asks for the configuration that a lighthouse has named, if none has sent it meanwhile.
+func (l *links) want(k *link) {
+	if l.active[k.ip] == k && k.conn != nil && l.p.room.Lacks(k.ip) {
+		up := l.up(k)
+		up.Want = true
+		l.send(k, up)
+		time.AfterFunc(wantAgain, func() { l.p.post(func() { l.want(k) }) })
+	}
 }
 
 // lose notes that a lighthouse cannot be reached.
--- a/internal/tide/tide.go
+++ b/internal/tide/tide.go
@@ -97,6 +97,17 @@
 	return out
 }
 
+// Digest is one number for everything held; never 0.
+func (c *Copy) Digest() uint64 {
+	h := xxhash.New()
+	for _, d := range c.Digests() {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], d)
+		h.Write(n[:])
+	}
+	return max(h.Sum64(), 1)
+}
+
 // Differing are the ranges whose digests differ.
 func Differing(a, b [Ranges]uint64) []int {
 	var out []int
