Count how long an endpoint is cold from when that was said, and say when it is warm

Change: a pilot counts from when a sheet came, and says by a new sheet that its endpoint is warm, for those who come later.

--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -61,8 +61,14 @@
 	keep    time.Duration
 }
 
-type entry struct {
+// Node is what a pilot knows of another.
+type Node struct {
 	beacon.Known
+	Since time.Time // its newest sheet came then
+}
+
+type entry struct {
+	Node
 	missing time.Time // since when no view has it; zero if one has
 }
 
@@ -144,14 +150,15 @@
 	for node, k := range best {
 		e := c.nodes[node]
 		if e == nil {
-			c.nodes[node] = &entry{Known: k}
+			c.nodes[node] = &entry{Node: Node{k, now}}
 			changed = true
 			continue
 		}
 		e.missing = time.Time{}
-		if k.Newer(&e.Sheet) || k.Dark != e.Dark && !e.Newer(&k.Sheet) {
-			e.Known = k
-			changed = true
+		if k.Newer(&e.Sheet) {
+			e.Node, changed = Node{k, now}, true
+		} else if k.Dark != e.Dark && !e.Newer(&k.Sheet) {
+			e.Dark, changed = k.Dark, true
 		}
 	}
 	for node, e := range c.nodes {
@@ -169,10 +176,10 @@
 }
 
 // Nodes is the picture, by name.
-func (c *Chartroom) Nodes() []beacon.Known {
-	out := make([]beacon.Known, 0, len(c.nodes))
+func (c *Chartroom) Nodes() []Node {
+	out := make([]Node, 0, len(c.nodes))
 	for _, node := range slices.Sorted(maps.Keys(c.nodes)) {
-		out = append(out, c.nodes[node].Known)
+		out = append(out, c.nodes[node].Node)
 	}
 	return out
 }
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -14,6 +14,7 @@
 	"whinknot"
 	"whinknot/internal/beacon"
 	"whinknot/internal/chart"
+	"whinknot/internal/lamp"
 	"whinknot/internal/pier"
 	"whinknot/internal/sidecar"
 )
@@ -146,7 +147,7 @@
 }
 
 // list tells the module the endpoints of the service. It runs in the pilot's loop.
-func (f *fairway) list(nodes []beacon.Known) {
+func (f *fairway) list(nodes []lamp.Node) {
 	p := f.p
 	now := time.Now()
 	zones := f.zones()
@@ -169,7 +170,7 @@
 			l = &life{}
 		}
 		l.node, l.inbound, l.own = n.Node, n.Inbound, n.Node == p.s.Node
-		if until := now.Add(e.Cold); e.Cold > 0 && until.After(l.cold.Add(sameCold)) && l.node != "" {
+		if until := n.Since.Add(e.Cold); until.After(now) && e.Cold > 0 && until.After(l.cold.Add(sameCold)) && l.node != "" {
 			if l.cold.IsZero() || now.After(l.cold) {
 				l.cold, l.started = until, until.Add(-f.warmup)
 			}
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -217,10 +217,14 @@
 func (q *quay) look() {
 	q.mu.Lock()
 	state, _ := q.gate.State()
+	warm := q.gate.ColdLeft(time.Now()) == 0
 	q.mu.Unlock()
 	if state == pier.Unknown || state == pier.Down {
 		q.ask()
 	}
+	if e := q.p.sheet.Endpoint; e != nil && e.Cold > 0 && warm {
+		q.publish() // who comes later is not to take it for cold
+	}
 }
 
 // ask probes the endpoint, if it has not just been probed.
