Take a pilot's room for that of a copy alone: the gate counts exactly

Cause: the room of a copy at its start is its part of five calls a server; with the zones as copies that is five calls for a whole zone's pilot, while the gates beside the servers know how much they can take.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -182,7 +182,7 @@
 	}
 	f.lives, f.berths = lives, berths
 	f.pilots = max(copies, 1)
-	f.copies = max(len(zones), 1) // the gate counts exactly: a copy need not keep to its part of a server
+	f.copies = 1 // the gate counts exactly: a copy need not keep to its part of a server
 	f.rank = max(slices.Index(zones, p.s.Zone), 0)
 	if f.service != nil {
 		f.service.Servers(berths, f.copies, f.rank)
