Leave the cold bound to the gates: a module whose servers are all cold sent nothing

Cause: after a loss of power every endpoint is cold.

Change: pilots do not tell the module that a server is cold. The gate lets in what a cold endpoint bears, exactly, and turns the rest away, which goes elsewhere.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -42,7 +42,6 @@
 	mu      sync.Mutex
 	service *sidecar.Service
 	classes []classKey
-	warmup  time.Duration
 	copies  int
 	pilots  int
 	rank    int
@@ -62,9 +61,7 @@
 type life struct {
 	node    string
 	inbound string
-	own     bool      // it is beside this pilot
-	started time.Time // if it was cold when this pilot heard of it
-	cold    time.Time // until then
+	own     bool // it is beside this pilot
 }
 
 func newFairway(p *Pilot, name string) *fairway {
@@ -92,11 +89,10 @@
 			}
 		}
 	}
-	warmup := c.Services[f.name].Warmup
-	if len(classes) == len(f.classes) && warmup == f.warmup || len(classes) == 0 {
+	if len(classes) == len(f.classes) {
 		return
 	}
-	f.classes, f.warmup = classes, warmup
+	f.classes = classes
 	f.renew()
 }
 
@@ -107,7 +103,6 @@
 	set := whinknot.Settings{
 		Copies: f.copies, Rank: f.rank, Zone: slices.Index(zones, s.Zone),
 		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, Streams: manyStreams, ConnIdle: float64(pilotIdle.Milliseconds())},
-		Safety: whinknot.Safety{ColdFrom: coldFrom, Ramp: float64(f.warmup.Milliseconds())},
 	}
 	for _, k := range f.classes {
 		c := whinknot.Class{Name: "class", Worth: topWorth / float64(int(1)<<min(max(k.priority, 0), 16)), LateWorth: lateWorth,
@@ -149,7 +144,6 @@
 // list tells the module the endpoints of the service. It runs in the pilot's loop.
 func (f *fairway) list(nodes []lamp.Node) {
 	p := f.p
-	now := time.Now()
 	zones := f.zones()
 	lives := map[string]*life{}
 	var berths []sidecar.Berth
@@ -170,13 +164,8 @@
 			l = &life{}
 		}
 		l.node, l.inbound, l.own = n.Node, n.Inbound, n.Node == p.s.Node
-		if until := n.Since.Add(e.Cold); until.After(now) && e.Cold > 0 && until.After(l.cold.Add(sameCold)) && l.node != "" {
-			if l.cold.IsZero() || now.After(l.cold) {
-				l.cold, l.started = until, until.Add(-f.warmup)
-			}
-		}
 		lives[e.ID] = l
-		b := sidecar.Berth{Name: e.ID, Addr: n.Inbound, Zone: n.Zone, Started: l.started}
+		b := sidecar.Berth{Name: e.ID, Addr: n.Inbound, Zone: n.Zone}
 		b.Draining = e.State == beacon.Draining || n.Leaving || n.Dark || p.room.Evacuated(n.Zone) || !p.shunned[e.ID].IsZero()
 		berths = append(berths, b)
 	}
