Serve on after SIGTERM until clients have stopped to come, then leave fast

Cause: a pilot that ended told other pilots at once, stopped its endpoint's gate after 0.7 s, and went only after 5.6 s: with machines restarted every 1.2 s five endpoints were away together. Retired modules held its end up to 30 s. Change: it serves as always while clients find it not ready twice (2.6 s, half of the grace at most), tells pilots 0.6 s before that, and ends as soon as nothing is open.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -127,7 +127,7 @@
 	f.service = next
 	next.Servers(f.berths, f.copies, f.rank)
 	if old != nil {
-		f.p.running.Go(func() { old.Retire(time.Now().Add(retireTime)) })
+		f.p.running.Go(func() { old.Retire(f.p.ctx, time.Now().Add(retireTime)) })
 	}
 }
 
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -30,13 +30,17 @@
 
 const (
 	lookEvery   = 250 * time.Millisecond
-	keepMissing = 5 * time.Second // a node that no lighthouse names any more is kept for so long
-	finishTime  = time.Second     // for calls of the endpoint under way at the end
-	acceptPart  = 0.5             // of the grace in which clients may still come after SIGTERM
-	endBefore   = 400 * time.Millisecond
-	leaveAfter  = 700 * time.Millisecond // after SIGTERM, other pilots have heard
-	quietTime   = 20 * time.Second       // between pilots
-	headTime    = 3 * time.Second
+	keepMissing = 5 * time.Second        // a node that no lighthouse names any more is kept for so long
+	finishTime  = 200 * time.Millisecond // for calls of the endpoint under way at the end
+	endBefore   = 600 * time.Millisecond // SIGKILL comes so long after what is left is cut
+	// From SIGTERM on clients find this pilot not ready, twice before they stop to come, and until then it serves as always.
+	// Then other pilots hear that it leaves, and a little later it takes nothing more.
+	acceptTime = 2600 * time.Millisecond
+	acceptPart = 0.5 // of the grace, at most
+	sayBefore  = 600 * time.Millisecond
+	shutBefore = 200 * time.Millisecond
+	quietTime  = 20 * time.Second // between pilots
+	headTime   = 3 * time.Second
 )
 
 // Pilot is one running proxy. What it knows belongs to the goroutine of loop; what requests read is in view.
@@ -139,14 +143,17 @@
 	begun := time.Now()
 	p.log.Info().Msg("leaving")
 	p.leaving.Store(true)
-	p.post(func() {
-		p.sheet.Leaving = true
-		p.say()
-	})
-	p.quay.leave(begun.Add(leaveAfter))
 	grace := p.s.Bounds.Grace
-	accept := time.Duration(acceptPart * float64(grace))
+	accept := min(acceptTime, time.Duration(acceptPart*float64(grace)))
 	last := grace - endBefore
+	say := time.AfterFunc(max(accept-sayBefore, 0), func() {
+		p.post(func() {
+			p.sheet.Leaving = true
+			p.say()
+		})
+	})
+	defer say.Stop()
+	p.quay.leave(begun.Add(max(accept-shutBefore, 0)))
 	var both sync.WaitGroup
 	both.Go(func() { p.outbound.Drain(accept, last) })
 	both.Go(func() { p.inbound.Drain(accept, last) })
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -297,12 +297,12 @@
 	return m
 }
 
-// Retire ends the service once it has no request left, or at a time; it returns then.
-func (s *Service) Retire(by time.Time) {
+// Retire ends the service once it has no request left, at a time, or with ctx; it returns then.
+func (s *Service) Retire(ctx context.Context, by time.Time) {
 	done := make(chan struct{})
 	var look func()
 	look = func() {
-		if len(s.loop.calls) == 0 || time.Now().After(by) {
+		if len(s.loop.calls) == 0 || time.Now().After(by) || ctx.Err() != nil {
 			s.loop.giveUpAll()
 			close(done)
 			return
