End pilots and lighthouses when told to: writers waited for a channel nobody closed

Cause: the goroutine that writes to a held connection ended when its channel was closed, by a function posted to the loop; at the end the loop is over and runs none. Change: the writer ends with its connection.

--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -72,6 +72,7 @@
 type link struct {
 	conn   *signal.Conn
 	out    chan any
+	end    chan struct{} // closed once the connection has ended
 	node   string
 	life   uint64
 	pushed uint64 // number of the last change
@@ -223,7 +224,7 @@
 	for l.ctx.Err() == nil {
 		conn, err := signal.Dial(Address(ip, l.s), silence)
 		if err == nil && l.hold(conn) {
-			k := &link{conn: conn, out: make(chan any, queue), node: ip}
+			k := &link{conn: conn, out: make(chan any, queue), end: make(chan struct{}), node: ip}
 			if conn.Send(&lamp.Hello{Lighthouse: l.s.IP, Zone: l.s.Zone}) == nil {
 				l.post(func() {
 					l.sisters[ip], l.core[ip].at = k, time.Now()
@@ -235,11 +236,11 @@
 				}
 			}
 			l.drop(conn)
+			close(k.end)
 			l.post(func() {
 				if l.sisters[ip] == k {
 					l.sisters[ip] = nil
 				}
-				close(k.out)
 			})
 		}
 		select {
@@ -251,12 +252,15 @@
 
 // write sends what a link is to be told.
 func (l *Lighthouse) write(k *link) {
-	for m := range k.out {
-		if k.conn.Send(m) != nil {
-			k.conn.Close()
-			for range k.out {
-			}
+	for {
+		select {
+		case <-k.end:
 			return
+		case m := <-k.out:
+			if k.conn.Send(m) != nil {
+				k.conn.Close()
+				return
+			}
 		}
 	}
 }
@@ -300,7 +304,7 @@
 		l.serveSister(conn, h.Lighthouse, h.Zone)
 		return
 	}
-	k := &link{conn: conn, out: make(chan any, queue), node: h.Pilot}
+	k := &link{conn: conn, out: make(chan any, queue), end: make(chan struct{}), node: h.Pilot}
 	l.running.Go(func() { l.write(k) })
 	for {
 		var up lamp.Up
@@ -312,9 +316,9 @@
 		}
 		l.post(func() { l.heard(k, &up) })
 	}
+	close(k.end)
 	l.post(func() {
 		delete(l.pilots, k)
-		close(k.out)
 		l.acks(k)
 	})
 }
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -151,12 +151,15 @@
 		})
 		defer close(stop)
 		p.running.Go(func() {
-			for up := range k.out {
-				if conn.Send(up) != nil {
-					conn.Close()
-					for range k.out {
-					}
+			for {
+				select {
+				case <-stop:
 					return
+				case up := <-k.out:
+					if conn.Send(up) != nil {
+						conn.Close()
+						return
+					}
 				}
 			}
 		})
@@ -175,7 +178,6 @@
 			p.post(func() { l.hear(k, &d) })
 		}
 		p.post(func() {
-			close(k.out)
 			k.conn = nil
 			l.lose(k)
 		})
