Have large bodies go to the own zone as long as an endpoint there can take them

Cause: an upload of 60 KB that crosses zones costs as much as a dozen lookups, and a third of all bytes are uploads. Change: each service has two modules, one for ingest routes, to which endpoints of other zones are backups.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -39,15 +39,34 @@
 	p    *Pilot
 	name string
 
-	mu      sync.Mutex
+	mu     sync.Mutex
+	ways   [2]way // for usual requests, and for those with large bodies
+	copies int
+	pilots int
+	rank   int
+	berths []sidecar.Berth
+	lives  map[string]*life // by name of the life
+	ration pier.Ration
+}
+
+// way is a decision module and the classes that it knows.
+type way struct {
 	service *sidecar.Service
 	classes []classKey
-	copies  int
-	pilots  int
-	rank    int
-	berths  []sidecar.Berth
-	lives   map[string]*life // by name of the life
-	ration  pier.Ration
+}
+
+// The ways of a fairway. What has a large body goes to the own zone as long as any endpoint there can take it.
+const (
+	usualWay = iota
+	heavyWay
+)
+
+// wayOf is the way of a route.
+func wayOf(r *chart.Route) int {
+	if r.Kind == chart.Ingest {
+		return heavyWay
+	}
+	return usualWay
 }
 
 // classKey is what makes requests alike to the decision module.
@@ -81,30 +100,33 @@
 func (f *fairway) chart(c *chart.Chart) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	classes := slices.Clone(f.classes)
-	for i := range c.Routes {
-		for _, part := range c.Routes[i].Parts {
-			if k := keyOf(&c.Routes[i]); part.Service == f.name && !slices.Contains(classes, k) {
-				classes = append(classes, k)
+	for n := range f.ways {
+		w := &f.ways[n]
+		classes := slices.Clone(w.classes)
+		for i := range c.Routes {
+			for _, part := range c.Routes[i].Parts {
+				if k := keyOf(&c.Routes[i]); part.Service == f.name && wayOf(&c.Routes[i]) == n && !slices.Contains(classes, k) {
+					classes = append(classes, k)
+				}
 			}
 		}
+		if len(classes) > len(w.classes) {
+			w.classes = classes
+			f.renew(n)
+		}
 	}
-	if len(classes) == len(f.classes) {
-		return
-	}
-	f.classes = classes
-	f.renew()
 }
 
 // renew puts a module in the place of the one so far, with what that has learned. f.mu is held.
-func (f *fairway) renew() {
+func (f *fairway) renew(n int) {
+	w := &f.ways[n]
 	s := f.p.s
 	zones := f.zones()
 	set := whinknot.Settings{
 		Copies: f.copies, Rank: f.rank, Zone: slices.Index(zones, s.Zone),
 		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, Streams: manyStreams, ConnIdle: float64(pilotIdle.Milliseconds())},
 	}
-	for _, k := range f.classes {
+	for _, k := range w.classes {
 		c := whinknot.Class{Name: "class", Worth: topWorth / float64(int(1)<<min(max(k.priority, 0), 16)), LateWorth: lateWorth,
 			Aim: float64(k.aim.Milliseconds()), GiveUp: float64(usualTime.Milliseconds())}
 		c.GiveUp = max(c.GiveUp, c.Aim)
@@ -114,7 +136,7 @@
 		set.Classes = append(set.Classes, c)
 	}
 	var learned *whinknot.Memory
-	old := f.service
+	old := w.service
 	if old != nil {
 		m := old.Learned()
 		learned = &m
@@ -124,8 +146,8 @@
 		f.p.log.Error().Err(err).Str("service", f.name).Msg("module cannot be made")
 		return
 	}
-	f.service = next
-	next.Servers(f.berths, f.copies, f.rank)
+	w.service = next
+	next.Servers(f.berthsOf(n), f.copies, f.rank)
 	if old != nil {
 		f.p.running.Go(func() { old.Retire(f.p.ctx, time.Now().Add(retireTime)) })
 	}
@@ -134,13 +156,27 @@
 // end ends the service; what it still has is answered.
 func (f *fairway) end() {
 	f.mu.Lock()
-	service := f.service
+	ways := f.ways
 	f.mu.Unlock()
-	if service != nil {
-		service.Retire(f.p.ctx, time.Now())
+	for _, w := range ways {
+		if w.service != nil {
+			w.service.Retire(f.p.ctx, time.Now())
+		}
 	}
 }
 
+// berthsOf are the endpoints as one way is told of them. f.mu is held.
+func (f *fairway) berthsOf(n int) []sidecar.Berth {
+	if n != heavyWay {
+		return f.berths
+	}
+	out := slices.Clone(f.berths)
+	for i := range out {
+		out[i].Backup = out[i].Zone != f.p.s.Zone
+	}
+	return out
+}
+
 // zones are the names of all zones, in the order that the module numbers them in.
 func (f *fairway) zones() []string {
 	var out []string
@@ -183,8 +219,10 @@
 	f.pilots = max(copies, 1)
 	f.copies = 1 // the gate counts exactly: a copy need not keep to its part of a server
 	f.rank = max(slices.Index(zones, p.s.Zone), 0)
-	if f.service != nil {
-		f.service.Servers(berths, f.copies, f.rank)
+	for n, w := range f.ways {
+		if w.service != nil {
+			w.service.Servers(f.berthsOf(n), f.copies, f.rank)
+		}
 	}
 }
 
@@ -235,7 +273,8 @@
 	due = due.Add(-min(50*time.Millisecond, due.Sub(now)/10))
 	key := keyOf(r)
 	f.mu.Lock()
-	service, class := f.service, slices.Index(f.classes, key)
+	w := &f.ways[wayOf(r)]
+	service, class := w.service, slices.Index(w.classes, key)
 	f.ration.Request(now)
 	f.mu.Unlock()
 	if service == nil || class < 0 {
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -228,6 +228,7 @@
 type Berth struct {
 	Name, Addr, Zone string
 	Draining         bool
+	Backup           bool // it gets requests only that no other can take
 	Weight           float64
 	Started          time.Time // its life began then; zero for long ago
 }
@@ -250,7 +251,7 @@
 func (s *Service) Servers(berths []Berth, copies, rank int) {
 	list := List{All: true}
 	for _, b := range berths {
-		t := Target{UID: b.Name, Endpoint: b.Addr, Zone: b.Zone, State: "Ready", Weight: b.Weight}
+		t := Target{UID: b.Name, Endpoint: b.Addr, Zone: b.Zone, State: "Ready", Weight: b.Weight, Backup: b.Backup}
 		if b.Draining {
 			t.State = "Terminating"
 		}
