Have pilots agree before a host is removed: internal/muster, removals as orders

Need: one pilot's moment on a weak link must never empty a healthy host, and a failing one is to leave everywhere together (the users' words).

Change: opinions by own calls alone, asked for only where somebody finds a life unwell; a majority, from more than one zone or with the gate's word; one register of removals, held by a majority of disks, delivered like every order; back after a time, as if cold. Nothing where more than a third of a service looks unwell.

Tried first: three pilots from two zones always; with own zones preferred nobody else calls a host, so the gate's word counts.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -29,15 +29,17 @@
 var Start = space.NewType("start")
 
 const (
-	pulse      = 300 * time.Millisecond  // between two looks at each other keeper
-	silence    = 1500 * time.Millisecond // after which a connection counts as dead
-	askTime    = 800 * time.Millisecond  // for one round of asking
-	orderTime  = 3 * time.Second         // for an order, over rounds
-	roundPause = 30 * time.Millisecond   // between two rounds
-	configKey  = "config"
-	evacPrefix = "evacuation/"
-	diskRecord = "disk"
-	setRecord  = "set"
+	pulse        = 300 * time.Millisecond  // between two looks at each other keeper
+	silence      = 1500 * time.Millisecond // after which a connection counts as dead
+	askTime      = 800 * time.Millisecond  // for one round of asking
+	orderTime    = 3 * time.Second         // for an order, over rounds
+	roundPause   = 30 * time.Millisecond   // between two rounds
+	configKey    = "config"
+	evacPrefix   = "evacuation/"
+	removalsKey  = "removals"
+	mostRemovals = 1 << 20 // bytes
+	diskRecord   = "disk"
+	setRecord    = "set"
 )
 
 // Keeper is one running store. Its state belongs to the goroutine of loop.
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"net"
 	"slices"
@@ -8,6 +10,7 @@
 	"time"
 
 	"whinknot/internal/chart"
+	"whinknot/internal/muster"
 	"whinknot/internal/signal"
 	"whinknot/internal/tide"
 )
@@ -71,6 +74,8 @@
 		}
 		if e.Key == configKey {
 			f.Config, f.Version = e.Body, e.Stamp.Number
+		} else if e.Key == removalsKey {
+			f.Removals, f.Removed = k.removals(&e), e.Stamp
 		} else if zone, ok := strings.CutPrefix(e.Key, evacPrefix); ok {
 			f.Evacuations = append(f.Evacuations, Evacuation{zone, e.Stamp, string(e.Body) == evacuated})
 		}
@@ -148,11 +153,41 @@
 		})
 	case BeginEvacuation, FinishEvacuation:
 		k.evacuate(o, by, then)
+	case SetRemovals:
+		k.remove(o, by, then)
 	default:
 		then(&Result{Status: Refused, Why: fmt.Sprintf("order %d is unknown", o.Kind)})
 	}
 }
 
+// removals reads the removals of an entry.
+func (k *Keeper) removals(e *tide.Entry) (out []muster.Removal) {
+	if err := gob.NewDecoder(bytes.NewReader(e.Body)).Decode(&out); err != nil {
+		k.log.Error().Err(err).Msg("removals cannot be read")
+	}
+	return out
+}
+
+// remove puts other removals in the place of those that they were decided on.
+func (k *Keeper) remove(o *Order, by time.Time, then func(*Result)) {
+	var text bytes.Buffer
+	if err := gob.NewEncoder(&text).Encode(o.Removals); err != nil || text.Len() > mostRemovals {
+		then(&Result{Status: Refused, Why: "the removals cannot be written"})
+		return
+	}
+	k.collect(removalsKey, by, func(e *tide.Entry, ok bool) {
+		switch {
+		case !ok:
+			then(&Result{Status: Unclear, Why: "no majority of the disks could be asked"})
+		case e != nil && e.Stamp != o.Base:
+			k.mend([]tide.Entry{*e})
+			then(&Result{Status: Conflict, Why: "they were decided on otherwise meanwhile"})
+		default:
+			k.put(tide.Entry{Key: removalsKey, Stamp: tide.Stamp{Number: o.Base.Number + 1, By: k.me.Disk}, Body: text.Bytes()}, by, then)
+		}
+	})
+}
+
 // evacuate draws a number above all that a majority knows of a zone. What is ordered again is known again.
 func (k *Keeper) evacuate(o *Order, by time.Time, then func(*Result)) {
 	want := evacuated
--- a/internal/keeper/talk.go
+++ b/internal/keeper/talk.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"whinknot/internal/helm"
+	"whinknot/internal/muster"
 	"whinknot/internal/tide"
 )
 
@@ -61,7 +62,10 @@
 	ID   uint64
 	Kind OrderKind
 	Body []byte // of a configuration
-	Zone string
+	// Of removals: what they are to be, if they are still those of a stamp.
+	Removals []muster.Removal
+	Base     tide.Stamp
+	Zone     string
 }
 
 // OrderKind says what is ordered.
@@ -73,6 +77,7 @@
 	ReadConfig
 	BeginEvacuation
 	FinishEvacuation
+	SetRemovals
 	Beat // says nothing
 )
 
@@ -108,7 +113,9 @@
 	Config      []byte // empty for none yet
 	Version     uint64
 	Evacuations []Evacuation // by zone
-	Settled     bool         // a majority is in sight
+	Removals    []muster.Removal
+	Removed     tide.Stamp // of the removals
+	Settled     bool       // a majority is in sight
 }
 
 // Evacuation is the newest order about a zone.
@@ -123,5 +130,5 @@
 	if f == nil || o == nil {
 		return f == o
 	}
-	return f.Version == o.Version && f.Settled == o.Settled && bytes.Equal(f.Config, o.Config) && slices.Equal(f.Evacuations, o.Evacuations)
+	return f.Version == o.Version && f.Settled == o.Settled && bytes.Equal(f.Config, o.Config) && slices.Equal(f.Evacuations, o.Evacuations) && f.Removed == o.Removed
 }
--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -10,6 +10,8 @@
 
 	"whinknot/internal/beacon"
 	"whinknot/internal/keeper"
+	"whinknot/internal/muster"
+	"whinknot/internal/tide"
 )
 
 // Hello is the first message of a connection to a lighthouse.
@@ -21,11 +23,12 @@
 
 // Up is what a pilot says.
 type Up struct {
-	Sheet *beacon.Sheet // if it has changed
-	Ack   uint64        // the number of the last change it goes by
-	Holds uint64        // the version of the configuration it goes by
-	Main  bool          // configurations are to be sent to it whole, before it asks
-	Want  bool          // it lacks the configuration that it was told the version of
+	Sheet    *beacon.Sheet    // if it has changed
+	Ack      uint64           // the number of the last change it goes by
+	Holds    uint64           // the version of the configuration it goes by
+	Main     bool             // configurations are to be sent to it whole, before it asks
+	Opinions []muster.Opinion // of lives that it finds unwell, and of those that it is asked about
+	Want     bool             // it lacks the configuration that it was told the version of
 }
 
 // Down is what a lighthouse says to a pilot. Without a number it only says that it is there.
@@ -36,14 +39,22 @@
 	Gone    []string // nodes forgotten
 	InForce *keeper.InForce
 	Core    []Machine // machines of the core
+	Asked   *Question // if another one than before
 	Sighted bool      // this lighthouse sees most of the core: what it calls dark is dark
 }
 
+// Question names the lives that some pilot finds unwell: each pilot is to say what it has seen of them.
+type Question struct {
+	Put   bool // a question of no life is one too
+	Lives []string
+}
+
 // Across is what lighthouses say to each other.
 type Across struct {
 	Sheets []beacon.Sheet
 	Vouch  []uint64  // marks of pilots that hold a connection to this one (beacon.Mark)
 	Core   []Machine // machines of the core that this one knows
+	Votes  []muster.Vote
 }
 
 // Machine is one of the core.
@@ -51,14 +62,16 @@
 
 // Chartroom is what one pilot holds of the news of several lighthouses. It is not safe for concurrent use.
 type Chartroom struct {
-	views   map[string]map[string]beacon.Known // by lighthouse, by node
-	sighted map[string]bool
-	newest  map[string]uint64 // by lighthouse, the version that it named last
-	nodes   map[string]*entry
-	config  []byte
-	version uint64
-	zones   map[string]keeper.Evacuation
-	keep    time.Duration
+	views    map[string]map[string]beacon.Known // by lighthouse, by node
+	sighted  map[string]bool
+	newest   map[string]uint64 // by lighthouse, the version that it named last
+	nodes    map[string]*entry
+	config   []byte
+	version  uint64
+	zones    map[string]keeper.Evacuation
+	removals []muster.Removal
+	removed  tide.Stamp
+	keep     time.Duration
 }
 
 // Node is what a pilot knows of another.
@@ -118,9 +131,22 @@
 			ch.Zones = ch.Zones || e.On != old.On
 		}
 	}
+	if f.Removed.Compare(c.removed) > 0 {
+		c.removals, c.removed, ch.Zones = f.Removals, f.Removed, true
+	}
 	return ch
 }
 
+// Removal is the order about a life; ok is false for none.
+func (c *Chartroom) Removal(life string) (r muster.Removal, ok bool) {
+	for _, r := range c.removals {
+		if r.Life == life {
+			return r, true
+		}
+	}
+	return r, false
+}
+
 // Lose forgets what a lighthouse has told, as the connection to it ended; the last one's word stays.
 func (c *Chartroom) Lose(now time.Time, from string) bool {
 	if len(c.views) > 1 {
@@ -195,7 +221,7 @@
 
 // InForce is what was ordered, as held.
 func (c *Chartroom) InForce() *keeper.InForce {
-	f := &keeper.InForce{Config: c.config, Version: c.version}
+	f := &keeper.InForce{Config: c.config, Version: c.version, Removals: c.removals, Removed: c.removed}
 	for _, zone := range slices.Sorted(maps.Keys(c.zones)) {
 		f.Evacuations = append(f.Evacuations, c.zones[zone])
 	}
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -59,6 +59,7 @@
 	pushing  bool
 	ticks    int
 	waits    []*wait
+	council  *council
 
 	running sync.WaitGroup
 	inside  net.Listener
@@ -112,6 +113,7 @@
 		pilots:   map[*link]bool{}, sisters: map[string]*link{}, core: map[string]*machine{}, changed: map[string]bool{},
 		across: map[string]bool{}, conns: map[*signal.Conn]bool{},
 	}
+	l.council = newCouncil(l)
 	var err error
 	if l.inside, err = net.Listen("tcp", Address(s.IP, s)); err != nil {
 		return nil, Start.Wrap(err, "listen")
@@ -362,6 +364,7 @@
 	if f := l.inForce; up.Want && f != nil && f.Version > k.holds {
 		l.push(k, lamp.Down{InForce: f, Sighted: l.sighted()})
 	}
+	l.council.heard(k, up.Opinions)
 	if up.Sheet != nil && up.Sheet.Node == k.node {
 		k.life = up.Sheet.Life
 		if l.registry.Put(now, *up.Sheet) {
@@ -391,6 +394,10 @@
 			l.note(node)
 		}
 	}
+	for _, v := range a.Votes {
+		v.Heard = now
+		l.council.votes[v.Pilot] = v
+	}
 	for _, other := range a.Core {
 		l.meet(other.IP, other.Zone)
 	}
@@ -495,7 +502,8 @@
 			l.say(k, &lamp.Down{Sighted: k.sight})
 		}
 	}
-	a := lamp.Across{}
+	l.council.tick(now)
+	a := lamp.Across{Votes: l.council.news()}
 	if l.ticks++; l.ticks%vouchTicks == 0 {
 		for k := range l.pilots {
 			if k.life != 0 {
--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -166,6 +166,9 @@
 	g.evacuated = on
 }
 
+// Doubt says that the endpoint may be cold, until it says more.
+func (g *Gate) Doubt() { g.doubtful = true }
+
 // closed is why nothing is let in just now; Pass if it is.
 func (g *Gate) closed(now time.Time, life string) Verdict {
 	switch {
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -15,6 +15,7 @@
 	"whinknot/internal/beacon"
 	"whinknot/internal/chart"
 	"whinknot/internal/lamp"
+	"whinknot/internal/muster"
 	"whinknot/internal/pier"
 	"whinknot/internal/sidecar"
 )
@@ -213,6 +214,9 @@
 		lives[e.ID] = l
 		b := sidecar.Berth{Name: e.ID, Addr: n.Inbound, Zone: n.Zone}
 		b.Draining = e.State == beacon.Draining || n.Leaving || n.Dark || p.room.Evacuated(n.Zone) || !p.shunned[e.ID].IsZero()
+		if r, ok := p.room.Removal(e.ID); ok && !r.Back {
+			b.Draining = true
+		}
 		berths = append(berths, b)
 	}
 	f.lives, f.berths = lives, berths
@@ -363,6 +367,7 @@
 		})
 		switch fate {
 		case sidecar.NeverWritten:
+			f.p.witness.saw(f.name, x.Server, muster.Silent)
 			return sidecar.Word{Outcome: whinknot.ConnectFailed}
 		case sidecar.CalledOff:
 			return sidecar.Word{Outcome: whinknot.Cancelled}
@@ -373,7 +378,21 @@
 			r.Header.Del(wordHeader)
 		}
 	}
-	return t.meaning(word, got, x.Server)
+	w := t.meaning(word, got, x.Server)
+	t.tell(w, x.Server)
+	return w
+}
+
+// tell has the witness note what an attempt that reached an endpoint tells of that.
+func (t *trip) tell(w sidecar.Word, life string) {
+	switch w.Outcome {
+	case whinknot.OK, whinknot.Cancelled:
+		t.f.p.witness.saw(t.f.name, life, muster.Good)
+	case whinknot.Error, whinknot.Reset:
+		t.f.p.witness.saw(t.f.name, life, muster.Failed)
+	case whinknot.Timeout, whinknot.ConnectFailed:
+		t.f.p.witness.saw(t.f.name, life, muster.Silent)
+	}
 }
 
 // meaning turns what is certain of an attempt into what the module is told.
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -207,6 +207,9 @@
 
 // hear takes news and acknowledges it.
 func (l *links) hear(k *link, d *lamp.Down) {
+	if d.Asked != nil {
+		l.p.witness.asked(k.ip, d.Asked.Lives)
+	}
 	for _, m := range d.Core {
 		l.known[m.IP] = m.Zone
 	}
@@ -232,6 +235,22 @@
 	}
 }
 
+// opine says what this pilot has seen of lives that are unwell.
+func (l *links) opine(now time.Time) {
+	opinions := l.p.witness.opinions(now)
+	if len(opinions) == 0 {
+		return
+	}
+	for _, k := range l.active {
+		if k.conn != nil {
+			up := l.up(k)
+			up.Opinions = opinions
+			l.send(k, up)
+			return // lighthouses tell each other
+		}
+	}
+}
+
 // lose notes that a lighthouse cannot be reached.
 func (l *links) lose(k *link) {
 	if l.active[k.ip] != k {
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -59,6 +59,8 @@
 	fairway map[string]*fairway // by service
 	shunned map[string]time.Time
 	quay    *quay
+	witness *witness
+	opined  time.Time
 	leaving atomic.Bool
 
 	running   sync.WaitGroup
@@ -90,6 +92,7 @@
 		Talk: net.JoinHostPort(s.IP, fmt.Sprint(s.Port(shore.PilotPort))),
 	}
 	p.quay = newQuay(p)
+	p.witness = newWitness()
 	p.links = newLinks(p)
 	var err error
 	if p.control, err = net.Listen("tcp", s.Control); err != nil {
@@ -214,6 +217,10 @@
 	}
 	p.quay.look()
 	p.links.tick()
+	if now.Sub(p.opined) >= opineEvery {
+		p.opined = now
+		p.links.opine(now)
+	}
 }
 
 // say has all lighthouses told the sheet, which has changed.
@@ -228,6 +235,7 @@
 		p.rechart()
 	}
 	if c.Zones || c.Config {
+		p.quay.removal(p.room)
 		p.quay.ordered(p.room.Evacuated(p.s.Zone), p.view.Load().chart)
 	}
 	if c.Nodes || c.Zones || c.Config {
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -11,6 +11,8 @@
 
 	"whinknot/internal/beacon"
 	"whinknot/internal/chart"
+	"whinknot/internal/lamp"
+	"whinknot/internal/muster"
 	"whinknot/internal/orders"
 	"whinknot/internal/pier"
 	"whinknot/internal/sidecar"
@@ -68,6 +70,7 @@
 	lives   float64 // number of lives met
 	target  string
 	changed bool // of the last evacuation
+	out     bool // its endpoint is removed
 }
 
 func newQuay(p *Pilot) *quay {
@@ -112,6 +115,18 @@
 	}
 }
 
+// removal takes that the endpoint was taken back after a removal: it is tried as if it were cold.
+func (q *quay) removal(room *lamp.Chartroom) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, life := q.gate.State()
+	r, ok := room.Removal(life)
+	if ok && r.Back && q.out {
+		q.gate.Doubt()
+	}
+	q.out = ok && !r.Back
+}
+
 // beat takes what the endpoint says of itself. It is acknowledged once the gate goes by it.
 func (q *quay) beat(h *orders.Heartbeat) {
 	e := h.Endpoint
@@ -352,6 +367,17 @@
 	head     func(*bytes.Buffer)
 }
 
+// inside is what a call that was let in tells of the endpoint.
+func inside(fate sidecar.Fate, r *sidecar.Reply) (k muster.Kind, tells bool) {
+	switch {
+	case fate == sidecar.CalledOff:
+		return 0, false
+	case fate != sidecar.Whole || r.Status >= 500 && r.Header.Get(notRunHeader) == "" || r.Status < 300 && r.Header.Get(sealHeader) == "":
+		return muster.Failed, true
+	}
+	return muster.Good, true
+}
+
 // take takes a request through the gate to the endpoint, and tells what is certain of it, with the endpoint's answer if
 // there is one.
 func (q *quay) take(ctx context.Context, p *passenger) (word string, r *sidecar.Reply) {
@@ -400,12 +426,15 @@
 	} else {
 		q.fails = 0
 	}
-	suspect := q.fails > 1
+	suspect, target := q.fails > 1, q.target
 	q.decideLocked()
 	q.mu.Unlock()
 	if suspect {
 		q.ask()
 	}
+	if kind, tells := inside(fate, r); tells {
+		q.p.witness.sawInside(target, p.life, kind)
+	}
 	switch fate {
 	case sidecar.Whole:
 		stripOwn(r.Header)
