Have everyone keep reaching the node already serving them: internal/moorings

Need: each counter, vet, rider and mechanic is to keep reaching the node already serving them, with only the necessary share moving (the users' words).

Change: a route's affinity tells who somebody is; weighted rendezvous hashing over the lives that take requests gives somebody's own order; the module hears the first three (Event.Prefer) and ranks them first while they do not fail.

Failed try: a rank of 100, which the module's preference for quick servers outweighed.

--- a/api.go
+++ b/api.go
@@ -156,7 +156,7 @@
 
 // The events a balancer handles.
 const (
-	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, Due, Hint, Spent, Shed, Worth, Attempts
+	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, Due, Hint, Spent, Shed, Worth, Attempts, Prefer
 	EvFirst                        // Request, Attempt, Server, Took, Bound
 	EvOutcome                      // Request, Attempt, Server, Outcome, Took, Done, Spent
 	EvGone                         // Request
@@ -208,6 +208,7 @@
 	Request  uint32
 	Server   uint32
 	Key      uint64
+	Prefer   []uint32 // of a request: servers that it is to go to first, while they do not fail, in that order
 	Token    uint64
 	Due      float64    // the client gives this try up
 	Hint     float64    // expected work; 0 = none told
--- a/balancer.go
+++ b/balancer.go
@@ -125,7 +125,8 @@
 	ended             bool // a final answer was given or the client left
 	inTime            bool // it was served within its aim
 	queued, streaming bool
-	once, shed        bool    // it can be sent once; its host turns it away
+	once, shed        bool // it can be sent once; its host turns it away
+	prefer            []uint32
 	worth             float64 // against its class's
 	most              int     // attempts that it may have, if it is told; 0 = not
 	mayRun            bool    // some closed attempt may have run
@@ -320,7 +321,7 @@
 	}
 	q := b.newRequest()
 	q.id, q.class, q.tenant, q.due = ev.Request, ev.Class, ev.Tenant, ev.Due
-	q.once, q.shed = ev.Spent, ev.Shed
+	q.once, q.shed, q.prefer = ev.Spent, ev.Shed, ev.Prefer
 	b.requests[q.id] = q
 	if q.shed { // it says nothing of the demand on the servers, and earns no repeats
 		b.end(q)
@@ -537,6 +538,8 @@
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
 		} else if s.out > 0 && b.now-s.heard > b.silence {
 			rank -= 40 // calls out and no answer for too long: over threshold already
+		} else if i := slices.Index(q.prefer, s.Server); i >= 0 && s.run <= runLimit {
+			rank += 900 - 100*float64(i) // those that its host would rather have, in that order
 		} else if s.cold && s.credit >= 1 {
 			rank += 45 // its part, due now: as the last resort of each copy it would idle
 		} else if s.home > 0 && b.atHome(s) {
@@ -898,8 +901,6 @@
 	}
 }
 
-// --- Credit.
-
 // accrue refills a server's credit for the time gone by and returns its most.
 func (b *Balancer) accrue(s *server) float64 {
 	load := b.loadOf(s)
--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -14,6 +14,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/mailru/easyjson"
 	"github.com/mailru/easyjson/jlexer"
+
+	"whinknot/internal/moorings"
 )
 
 var space = errorx.NewNamespace("chart")
@@ -49,6 +51,7 @@
 	Priority           int           // 0 is the highest
 	Tries              int           // endpoints that one try may be sent to
 	Parts              []Part        // at least one, of a weight over 0
+	Affinity           moorings.Key  // who somebody is that keeps to one endpoint; the zero value for nobody
 }
 
 // Service is what is told of the endpoints of a name.
@@ -168,6 +171,10 @@
 	if out.Deadline > 0 && out.Aim >= out.Deadline+mostOver {
 		r.fault("target_latency_s", "lies a minute or more above deadline_s")
 	}
+	var err error
+	if out.Affinity, err = moorings.ParseKey(r.text("affinity")); err != nil {
+		r.fault("affinity", "%v", err)
+	}
 	var parts split
 	if raw := r.cells["weighted_targets"]; present(raw) {
 		if err := easyjson.Unmarshal(raw, &parts); err != nil {
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -15,6 +15,7 @@
 	"whinknot/internal/beacon"
 	"whinknot/internal/chart"
 	"whinknot/internal/lamp"
+	"whinknot/internal/moorings"
 	"whinknot/internal/muster"
 	"whinknot/internal/pier"
 	"whinknot/internal/sidecar"
@@ -46,6 +47,7 @@
 	pilots int
 	rank   int
 	berths []sidecar.Berth
+	nodes  *moorings.Table  // those that somebody may keep to; replaced whole
 	lives  map[string]*life // by name of the life
 	ration pier.Ration
 }
@@ -86,7 +88,7 @@
 
 func newFairway(p *Pilot, name string) *fairway {
 	b := &p.s.Bounds
-	return &fairway{p: p, name: name, copies: 1, pilots: 1, lives: map[string]*life{}, ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
+	return &fairway{p: p, name: name, copies: 1, pilots: 1, lives: map[string]*life{}, nodes: moorings.NewTable(nil), ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
 }
 
 func keyOf(r *chart.Route) classKey {
@@ -194,6 +196,7 @@
 	zones := f.zones()
 	lives := map[string]*life{}
 	var berths []sidecar.Berth
+	var steady []moorings.Node
 	copies := 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -218,8 +221,11 @@
 			b.Draining = true
 		}
 		berths = append(berths, b)
+		if !b.Draining {
+			steady = append(steady, moorings.Node{Name: e.ID, Weight: e.Capacity})
+		}
 	}
-	f.lives, f.berths = lives, berths
+	f.lives, f.berths, f.nodes = lives, berths, moorings.NewTable(steady)
 	f.pilots = max(copies, 1)
 	f.copies = 1 // the gate counts exactly: a copy need not keep to its part of a server
 	f.rank = max(slices.Index(zones, p.s.Zone), 0)
@@ -290,7 +296,7 @@
 	e.Header.Del(callerHeader)
 	t := &trip{f: f, e: e, r: r, patience: time.Duration(aimPart * float64(key.aim))}
 	reply, ok := service.Do(ctx, &sidecar.Job{
-		Class: uint16(class), Due: due, Attempts: r.Tries + moreTries, Cross: t.cross,
+		Class: uint16(class), Due: due, Attempts: r.Tries + moreTries, Cross: t.cross, Prefer: f.moored(e, r),
 	})
 	if !ok {
 		return sidecar.Reply{Status: http.StatusBadGateway}
@@ -306,6 +312,22 @@
 	return reply
 }
 
+// moored are the endpoints that somebody keeps to, by the route's affinity; none where it has none.
+func (f *fairway) moored(e *sidecar.Errand, r *chart.Route) []string {
+	path, _, _ := strings.Cut(e.URI, "?")
+	who, ok := r.Affinity.Of(e.Header, path, e.From)
+	if !ok {
+		return nil
+	}
+	f.mu.Lock()
+	nodes := f.nodes
+	f.mu.Unlock()
+	return nodes.Order(who, mooringsDeep)
+}
+
+// mooringsDeep is how many endpoints of somebody's own order are gone through before any other is as good.
+const mooringsDeep = 3
+
 // promises tells whether a status says that the request has not run and never will.
 func promises(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -343,6 +343,54 @@
 	}
 }
 
+// Somebody keeps to one endpoint, whichever pilot the request begins at, and goes to the next of its own order when that leaves.
+func TestSomebodyKeepsToOneEndpoint(t *testing.T) {
+	m := newMesh(t)
+	a, b, c := m.start("a", "127.0.8.1", "one"), m.start("b", "127.0.8.2", "one"), m.start("c", "127.0.8.3", "one")
+	all := []*endpoint{a, b, c}
+	text := strings.Replace(testConfig, `"max_tries"],`, `"max_tries","affinity"],`, 1)
+	text = strings.Replace(strings.Replace(text, `"one",2],`, `"one",2,"header:X-Counter"],`, 1), `"one",2]]`, `"one",2,""]]`, 1)
+	m.until("POST", "http://"+m.settings("core", coreIP).Control+"/api/Config.Replace", text, http.StatusOK)
+	for _, e := range all {
+		e.beat("serving")
+		e.behave(func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+			w.Header().Set(sealHeader, "s")
+			io.WriteString(w, e.id)
+		})
+	}
+	serve := func(from *endpoint, who int) string {
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+			if r, body := from.send("GET", "shop.example", "/read/", "id", "", http.Header{"X-Counter": {fmt.Sprint(who)}}); r.StatusCode == http.StatusOK {
+				return body
+			}
+		}
+		t.Fatalf("%d is not served", who)
+		return ""
+	}
+	seen := map[string]bool{}
+	for end := time.Now().Add(10 * time.Second); len(seen) < 3 && time.Now().Before(end); {
+		for who := range 30 { // until all know all
+			seen[serve(a, who)], seen[serve(b, who)], seen[serve(c, who)] = true, true, true
+		}
+	}
+	at := map[int]string{}
+	for who := range 30 {
+		at[who] = serve(a, who)
+		for _, from := range []*endpoint{b, c, a} {
+			if got := serve(from, who); got != at[who] {
+				t.Errorf("%d is at %s and at %s", who, at[who], got)
+			}
+		}
+	}
+	c.beat("draining")
+	m.until("POST", "http://"+c.s.Control+"/api/Endpoints.Deregister/"+c.id, "", http.StatusOK)
+	for who := range 30 {
+		if got := serve(b, who); got != at[who] && at[who] != c.id {
+			t.Errorf("%d moved from %s to %s as %s left", who, at[who], got, c.id)
+		}
+	}
+}
+
 // Two requests in one, and what is none: the answer is 400 and the connection ends.
 func TestWhatIsNoRequestReachesNobody(t *testing.T) {
 	_, from, to := calm(t)
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -171,6 +171,7 @@
 	Due      time.Time // the answer is owed by then
 	Attempts int       // at most; 0 for the settings' limit
 	Worth    float64
+	Prefer   []string // names of servers that it is to go to first, in that order
 	// Cross has the request carried to a server; through is the way to a remote one.
 	Cross func(a *Crossing) Word
 }
@@ -275,7 +276,12 @@
 	c.wait = inMillis(job.Due.Sub(now))
 	c.event = whinknot.Event{Class: job.Class, Attempts: job.Attempts, Worth: job.Worth}
 	c.due(s.loop.clock(now))
-	s.loop.post(func() { s.loop.take(c) })
+	s.loop.post(func() {
+		for _, name := range job.Prefer {
+			c.event.Prefer = append(c.event.Prefer, s.loop.directory.id(name))
+		}
+		s.loop.take(c)
+	})
 	select {
 	case a := <-answered:
 		return *replyOf(&a), true
