Have each process of the mesh tell how things are, and pilots the story of a request

Need: at three in the morning somebody asks which pilots do not have a version, who says that a host is out, why a booking was refused. Measured: test through real processes' ports; the recorder's cost on a request is not measured yet.

--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -30,6 +30,7 @@
 		go shore.Follow(ctx, s, log, p.Changed)
 		return p.Run(ctx)
 	})
+	root.Subcommands = append(root.Subcommands, asking()...)
 	if err := root.ParseAndRun(ctx, args); err != nil {
 		if !errors.Is(err, ff.ErrHelp) {
 			fmt.Fprintln(os.Stderr, "pilot:", err)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -453,6 +453,7 @@
 type Hello struct {
 	Keeper     *tide.Member // of another keeper
 	Lighthouse string       // or the node of a lighthouse
+	Status     bool         // or one that only asks how things are: a Status is the answer
 }
 
 func (k *Keeper) accept() {
@@ -480,6 +481,16 @@
 	if err := conn.Receive(&h); err != nil {
 		return
 	}
+	if h.Status {
+		asked := make(chan *Status, 1)
+		k.post(func() { asked <- k.status() })
+		select {
+		case s := <-asked:
+			conn.Send(s)
+		case <-k.over:
+		}
+		return
+	}
 	if h.Keeper == nil {
 		k.serveBoat(conn)
 		return
--- a/internal/keeper/talk.go
+++ b/internal/keeper/talk.go
@@ -84,21 +84,21 @@
 // Result is what became of an order.
 type Result struct {
 	ID     uint64
-	Status Status
+	Status End
 	Why    string
 	Body   []byte
 }
 
-// Status says how an order ended.
-type Status uint8
+// End says how an order ended.
+type End uint8
 
 // The ends of an order.
 const (
-	Done     Status = iota + 1
-	Refused         // it is invalid
-	Conflict        // another content has that number
-	Absent          // there is none yet
-	Unclear         // no majority could be asked: it may be in force or not
+	Done     End = iota + 1
+	Refused      // it is invalid
+	Conflict     // another content has that number
+	Absent       // there is none yet
+	Unclear      // no majority could be asked: it may be in force or not
 )
 
 // Word is what a keeper says to a lighthouse: a result, and what is in force if that has changed.
--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -19,6 +19,7 @@
 	Pilot      string // the node of a pilot
 	Lighthouse string // or of another lighthouse, by its address
 	Zone       string // of that
+	Status     bool   // or one that only asks how things are
 }
 
 // Up is what a pilot says.
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -302,6 +302,16 @@
 	if conn.Receive(&h) != nil {
 		return
 	}
+	if h.Status {
+		asked := make(chan *Status, 1)
+		l.post(func() { asked <- l.status() })
+		select {
+		case s := <-asked:
+			conn.Send(s)
+		case <-l.over:
+		}
+		return
+	}
 	if h.Lighthouse != "" {
 		l.serveSister(conn, h.Lighthouse, h.Zone)
 		return
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -295,12 +295,16 @@
 	e.Header.Del(targetHeader)
 	e.Header.Del(callerHeader)
 	t := &trip{f: f, e: e, r: r, patience: time.Duration(aimPart * float64(key.aim))}
+	id := e.Header.Get(idHeader)
+	f.p.note(id, "event=taken route="+r.Name+" service="+f.name+" version=r"+strconv.FormatUint(f.p.view.Load().chart.Version, 10))
 	reply, ok := service.Do(ctx, &sidecar.Job{
 		Class: uint16(class), Due: due, Attempts: r.Tries + moreTries, Cross: t.cross, Prefer: f.moored(e, r),
 	})
 	if !ok {
+		f.p.note(id, "event=left")
 		return sidecar.Reply{Status: http.StatusBadGateway}
 	}
+	f.p.note(id, "event=answered status="+strconv.Itoa(reply.Status)+" attempts="+strconv.Itoa(t.sent)+" arrived="+strconv.Itoa(t.arrived))
 	if reply.Header == nil {
 		reply.Header = http.Header{}
 	}
@@ -340,6 +344,7 @@
 	e        *sidecar.Errand
 	r        *chart.Route
 	patience time.Duration
+	sent     int // attempts
 	arrived  int // attempts that reached an endpoint
 }
 
@@ -354,6 +359,7 @@
 // cross carries one attempt to the pilot beside an endpoint. Attempts of one request follow each other.
 func (t *trip) cross(x *sidecar.Crossing) sidecar.Word {
 	f := t.f
+	t.sent++
 	f.mu.Lock()
 	l := f.lives[x.Server]
 	own := l != nil && l.own
@@ -401,6 +407,7 @@
 		}
 	}
 	w := t.meaning(word, got, x.Server)
+	f.p.note(t.e.Header.Get(idHeader), "event=attempt life="+x.Server+" at="+x.Addr+" word="+strconv.Quote(word)+" outcome="+strconv.Itoa(int(w.Outcome)))
 	t.tell(w, x.Server)
 	return w
 }
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -415,3 +415,39 @@
 		t.Errorf("%d requests ran", to.runs())
 	}
 }
+
+// Each process tells how things are, and pilots the story of a request.
+func TestAMeshExplainsItself(t *testing.T) {
+	m, from, to := calm(t)
+	from.send("POST", "shop.example", "/pay/", "story-1", "", nil)
+	core := m.settings("core", coreIP)
+	k, err := keeper.AskStatus(keeper.Address(coreIP, core), 5*time.Second)
+	if err != nil || !k.Counts || !k.MajorityInSight || len(k.Entries) != 1 || !k.Entries[0].Settled || k.Entries[0].Stamp.Number != 2 {
+		t.Errorf("keeper: %+v, %v", k, err)
+	}
+	l, err := lighthouse.AskStatus(lighthouse.Address(coreIP, core), 5*time.Second)
+	if err != nil || l.Version != 2 || !l.Sighted || len(l.Pilots) != 2 || l.Pilots[1].Holds != 2 || l.Pilots[1].Endpoint.ID != to.id {
+		t.Errorf("lighthouse: %+v, %v", l, err)
+	}
+	ask := func(e *endpoint) *Status {
+		s, err := Ask(fmt.Sprintf("%s:%d", e.s.IP, e.s.Port(2)), Question{Request: "story-1"}, 5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	a, b := ask(from), ask(to)
+	var text bytes.Buffer
+	a.Print(&text)
+	b.Print(&text)
+	a.PrintStory(&text)
+	b.PrintStory(&text)
+	for _, want := range []string{
+		"pilot from  zone north  version=r2  ready=true", "endpoint i-to  serving", "event=taken route=b service=one version=r2",
+		`event=attempt life=i-to`, `word="answer"`, "event=answered status=200 attempts=1 arrived=1", "event=crossed life=i-to",
+	} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is not told:\n%s", want, text.String())
+		}
+	}
+}
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -23,6 +23,7 @@
 	"whinknot/internal/orders"
 	"whinknot/internal/shore"
 	"whinknot/internal/sidecar"
+	"whinknot/internal/story"
 )
 
 var space = errorx.NewNamespace("pilot")
@@ -60,6 +61,8 @@
 	shunned map[string]time.Time
 	quay    *quay
 	witness *witness
+	story   *story.Recorder
+	talk    net.Listener
 	opined  time.Time
 	leaving atomic.Bool
 
@@ -93,6 +96,7 @@
 	}
 	p.quay = newQuay(p)
 	p.witness = newWitness()
+	p.story = story.New(storyEvents)
 	p.links = newLinks(p)
 	var err error
 	if p.control, err = net.Listen("tcp", s.Control); err != nil {
@@ -101,6 +105,9 @@
 	if p.readiness, err = net.Listen("tcp", s.Readiness); err != nil {
 		return nil, Start.Wrap(err, "listen")
 	}
+	if p.talk, err = net.Listen("tcp", p.sheet.Talk); err != nil {
+		return nil, Start.Wrap(err, "listen")
+	}
 	return p, nil
 }
 
@@ -120,6 +127,8 @@
 		return Start.Wrap(err, "listen")
 	}
 	p.running.Go(p.loop)
+	p.running.Go(p.answerTalk)
+	defer p.talk.Close()
 	p.links.meetSeeds()
 	calls := &http.Server{Handler: orders.NewHandler(p.run)}
 	ready := &http.Server{Handler: orders.NewHandler(p.run)}
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -408,6 +408,7 @@
 		}
 	}
 	if v != pier.Pass {
+		q.p.note(p.id, "event=turned life="+p.life+" why="+v.String())
 		return wordTurned + v.String(), nil
 	}
 	fate, r := q.wharf.Cross(ctx, &sidecar.Hop{
@@ -432,6 +433,7 @@
 	if suspect {
 		q.ask()
 	}
+	q.p.note(p.id, "event=crossed life="+p.life+" fate="+strconv.Itoa(int(fate)))
 	if kind, tells := inside(fate, r); tells {
 		q.p.witness.sawInside(target, p.life, kind)
 	}
