Learn how long servers keep idle connections, by their word and by what breaks

Cause: an idle connection that its endpoint has forgotten resets the next request, which may have run then; a booking is lost by it. Change: in the mesh a connection that broke off after a rest shortens the rest that is allowed, one that was still good near the limit lengthens it a little; Keep-Alive bounds it.

--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"whinknot"
@@ -43,8 +44,13 @@
 	if err != nil {
 		return NeverWritten, nil
 	}
+	rested := time.Duration(0) // it was idle for so long before
+	if !c.since.IsZero() {
+		rested = time.Since(c.since)
+	}
 	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	fate, got, keep := u.over(a, c, h, until)
+	u.learnIdle(rested, fate)
 	if !stop() || !keep {
 		u.discard(c)
 	} else {
@@ -53,6 +59,41 @@
 	return fate, got
 }
 
+const (
+	idleLeast = 100 * time.Millisecond
+	idleGrows = 1.02 // by each connection that was still good near the limit
+)
+
+// learnIdle learns how long connections may be idle: one that broke off after a rest was forgotten by its server, perhaps, and a
+// request that may have run is the price.
+func (u *upstream) learnIdle(rested time.Duration, f Fate) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.idleMost == 0 {
+		u.idleMost = u.idleLimit
+	}
+	switch {
+	case f == Broken && rested > idleLeast:
+		u.idleLimit = max(min(u.idleLimit, time.Duration(idlePart*float64(rested))), idleLeast)
+	case f == Whole && rested > time.Duration(idlePart*float64(u.idleLimit)):
+		u.idleLimit = min(time.Duration(idleGrows*float64(u.idleLimit)), u.idleMost)
+	}
+}
+
+// told takes the time that a server keeps idle connections for.
+func (u *upstream) told(h http.Header) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if s, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && s > 0 {
+			most := time.Duration(idlePart * float64(s) * float64(time.Second))
+			u.mu.Lock()
+			u.idleMost = min(max(u.idleMost, u.idleLimit), most)
+			u.idleLimit = min(u.idleLimit, most)
+			u.mu.Unlock()
+		}
+	}
+}
+
 // over does so on a connection, and tells whether it can be used again.
 func (u *upstream) over(a *attempt, c *conn, h *hop, until time.Time) (Fate, *Reply, bool) {
 	c.SetDeadline(until)
@@ -96,6 +137,7 @@
 		if got := m.header.Get("X-Attempt-Id"); h.id != "" && got != h.id && (got != "" || status < 300) {
 			continue // an answer too many, to an earlier request
 		}
+		u.told(m.header)
 		keep := m.lasts() && c.reader.Buffered() == 0 && stillOpen(c.Conn)
 		return Whole, &Reply{Status: status, Header: endToEnd(m.header), Body: body}, keep
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -92,6 +92,7 @@
 // upstream owns all connections to endpoints.
 type upstream struct {
 	dialTimeout, idleLimit time.Duration
+	idleMost               time.Duration  // of the mesh, which learns the limit: the most that it grows to; 0 = not known yet
 	most                   int            // connections at once
 	grace                  time.Duration  // from the decision on an attempt to its first byte; 0 = any
 	ledger                 *ledger        // counts the connections of all pools; nil where there is one pool
