--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -148,6 +148,20 @@
 	return r, false
 }
 
+// Told takes what another pilot holds of who is there, as no lighthouse can be reached. It lasts for as long as it is told.
+func (c *Chartroom) Told(now time.Time, nodes []Node) (changed bool) {
+	for _, n := range nodes {
+		e := c.nodes[n.Node]
+		if e == nil || n.Newer(&e.Sheet) {
+			c.nodes[n.Node] = &entry{Node: Node{n.Known, now}, missing: now}
+			changed = true
+		} else if !e.missing.IsZero() {
+			e.missing = now
+		}
+	}
+	return changed
+}
+
 // Lose forgets what a lighthouse has told, as the connection to it ended; the last one's word stays.
 func (c *Chartroom) Lose(now time.Time, from string) bool {
 	if len(c.views) > 1 {
--- a/internal/pilot/explain.go
+++ b/internal/pilot/explain.go
@@ -1,6 +1,7 @@
 package pilot
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,12 @@
 	talkSilence = 2 * time.Second
 )
 
+// Talk is what is said to a pilot: a question of operators, or what another pilot goes by.
+type Talk struct {
+	Question *Question
+	Gossip   *Gossip
+}
+
 // Question is what a pilot is asked: how things are, and the story of a request if one is named.
 type Question struct{ Request string }
 
@@ -62,10 +69,35 @@
 		return
 	}
 	defer conn.Close()
-	var q Question
-	if conn.Receive(&q) != nil {
-		return
+	defer context.AfterFunc(p.ctx, conn.Close)()
+	for {
+		var t Talk
+		if conn.Receive(&t) != nil {
+			return
+		}
+		switch {
+		case t.Question != nil:
+			p.answer(conn, t.Question)
+			return
+		case t.Gossip != nil:
+			lacks := make(chan *Gossip, 1)
+			p.post(func() { lacks <- p.reply(t.Gossip) })
+			select {
+			case g := <-lacks:
+				if conn.Send(g) != nil {
+					return
+				}
+			case <-p.over:
+				return
+			}
+		default:
+			return
+		}
 	}
+}
+
+// answer answers a question.
+func (p *Pilot) answer(conn *signal.Conn, q *Question) {
 	asked := make(chan *Status, 1)
 	p.post(func() { asked <- p.status() })
 	select {
@@ -111,7 +143,7 @@
 		return nil, err
 	}
 	defer conn.Close()
-	if err := conn.Send(&q); err != nil {
+	if err := conn.Send(&Talk{Question: &q}); err != nil {
 		return nil, err
 	}
 	var s Status
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -255,7 +255,7 @@
 	if e.Length > v.chart.Limits.MaxBody {
 		return 0, &sidecar.Reply{Status: http.StatusRequestEntityTooLarge, Body: []byte("the body is over the limit\n")}
 	}
-	return v.chart.Limits.MaxBody, nil
+	return h.p.bulk.take(e, v.chart.Limits.MaxBody)
 }
 
 // Serve has a request served by the service of its route, by the configuration in force once it has come whole.
--- /dev/null
+++ b/internal/pilot/gossip.go
@@ -0,0 +1,153 @@
+package pilot
+
+import (
+	"context"
+	"time"
+
+	"whinknot/internal/keeper"
+	"whinknot/internal/lamp"
+	"whinknot/internal/signal"
+	"whinknot/internal/tide"
+	"whinknot/internal/watch"
+)
+
+const (
+	watchedCount = 3
+	watchPulse   = time.Second
+	watchQuiet   = 2500 * time.Millisecond
+)
+
+// Gossip is what pilots say to each other: what each goes by, and what the other lacks.
+type Gossip struct {
+	Node    string
+	Version uint64
+	Zones   uint64     // sum of the numbers of evacuations: it rises with each
+	Removed tide.Stamp // of removals
+	Cut     bool       // it has no lighthouse: who is there is news to it
+	InForce *keeper.InForce
+	Nodes   []lamp.Node
+}
+
+// watchers are the held connections to the pilots that this one watches. They belong to the pilot's loop.
+type watchers struct {
+	p     *Pilot
+	watch *watch.Watch
+	ends  map[string]chan struct{}
+	last  time.Time
+}
+
+func newWatchers(p *Pilot) *watchers {
+	return &watchers{p: p, watch: watch.NewWatch(watchQuiet), ends: map[string]chan struct{}{}}
+}
+
+// tick follows the picture: whom to watch, and who has fallen silent.
+func (w *watchers) tick(now time.Time) {
+	if now.Sub(w.last) < watchPulse {
+		return
+	}
+	w.last = now
+	var all []watch.Node
+	talk := map[string]string{}
+	for _, n := range w.p.room.Nodes() {
+		if !n.Dark && !n.Leaving {
+			all = append(all, watch.Node{Name: n.Node, Zone: n.Zone})
+			talk[n.Node] = n.Talk
+		}
+	}
+	come, gone := w.watch.Set(now, watch.Choose(watch.Node{Name: w.p.s.Node, Zone: w.p.s.Zone}, all, watchedCount))
+	for _, name := range come {
+		end := make(chan struct{})
+		w.ends[name] = end
+		w.p.running.Go(func() { w.follow(name, talk[name], end) })
+	}
+	for _, name := range gone {
+		close(w.ends[name])
+		delete(w.ends, name)
+	}
+	for _, name := range w.watch.Quiet(now) {
+		w.p.log.Info().Str("pilot", name).Msg("pilot that is watched is quiet")
+	}
+}
+
+// gossip is what this pilot goes by. It runs in the loop.
+func (p *Pilot) gossip() *Gossip {
+	f := p.room.InForce()
+	g := &Gossip{Node: p.s.Node, Version: f.Version, Removed: f.Removed, Cut: p.links.main() == ""}
+	for _, e := range f.Evacuations {
+		g.Zones += e.Stamp.Number
+	}
+	return g
+}
+
+// reply is what another lacks. It runs in the loop.
+func (p *Pilot) reply(to *Gossip) *Gossip {
+	g := p.gossip()
+	if g.Version > to.Version || g.Zones > to.Zones || g.Removed.Compare(to.Removed) > 0 {
+		g.InForce = p.room.InForce()
+		if g.Version <= to.Version {
+			g.InForce.Config = nil
+		}
+	}
+	if to.Cut && !g.Cut {
+		g.Nodes = p.room.Nodes()
+	}
+	return g
+}
+
+// follow talks to one pilot each second, while it is watched.
+func (w *watchers) follow(name, addr string, end chan struct{}) {
+	p := w.p
+	tick := time.NewTicker(watchPulse)
+	defer tick.Stop()
+	var conn *signal.Conn
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for {
+		select {
+		case <-end:
+			return
+		case <-p.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if conn == nil {
+			c, err := signal.Dial(addr, talkSilence)
+			if err != nil {
+				continue
+			}
+			conn = c
+			context.AfterFunc(p.ctx, c.Close)
+		}
+		mine := make(chan *Gossip, 1)
+		p.post(func() { mine <- p.gossip() })
+		var theirs Gossip
+		select {
+		case g := <-mine:
+			if conn.Send(&Talk{Gossip: g}) == nil && conn.Receive(&theirs) == nil {
+				p.post(func() { w.heard(name, &theirs) })
+				continue
+			}
+		case <-p.over:
+			return
+		}
+		conn.Close()
+		conn = nil
+	}
+}
+
+// heard takes what a pilot that is watched says.
+func (w *watchers) heard(name string, g *Gossip) {
+	now := time.Now()
+	w.watch.Heard(now, name)
+	var ch lamp.Change
+	if g.InForce != nil {
+		ch = w.p.room.Ordered(g.InForce)
+	}
+	if len(g.Nodes) > 0 && w.p.links.main() == "" {
+		ch.Nodes = w.p.room.Told(now, g.Nodes)
+	}
+	w.p.news(ch)
+}
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -19,6 +19,7 @@
 	"whinknot/internal/berth"
 	"whinknot/internal/keeper"
 	"whinknot/internal/lighthouse"
+	"whinknot/internal/tide"
 )
 
 func TestMain(m *testing.M) {
@@ -32,7 +33,8 @@
 	port   int
 	client *http.Client
 	done   sync.WaitGroup
-	stop   context.CancelFunc
+	// stopCore ends the core machine's programs.
+	stopCore func()
 }
 
 const coreIP = "127.0.8.100"
@@ -45,9 +47,10 @@
 	m := &mesh{t: t, port: free.Addr().(*net.TCPAddr).Port, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}}
 	free.Close()
 	ctx, stop := context.WithCancel(context.Background())
-	m.stop = stop
+	var core sync.WaitGroup
+	m.stopCore = func() { stop(); core.Wait() }
 	t.Cleanup(func() {
-		stop()
+		m.stopCore()
 		m.done.Wait()
 		m.client.CloseIdleConnections()
 	})
@@ -61,8 +64,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.done.Go(func() { k.Run(ctx) })
-	m.done.Go(func() { l.Run(ctx) })
+	core.Go(func() { k.Run(ctx) })
+	core.Go(func() { l.Run(ctx) })
 	return m
 }
 
@@ -82,6 +85,7 @@
 	m      *mesh
 	s      *berth.Settings
 	id     string
+	pilot  *Pilot
 	server *httptest.Server
 	seq    int
 
@@ -99,6 +103,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	e.pilot = p
 	ctx, stop := context.WithCancel(context.Background())
 	m.t.Cleanup(stop)
 	m.done.Go(func() { p.Run(ctx) })
@@ -416,6 +421,30 @@
 	}
 }
 
+// While no lighthouse can be reached, what one pilot goes by reaches the others that watch it.
+func TestPilotsTellEachOtherWhileTheCoreIsAway(t *testing.T) {
+	m, from, to := calm(t)
+	m.stopCore()
+	newer := strings.Replace(testConfig, `"r2"`, `"r9"`, 1)
+	from.pilot.post(func() {
+		f := &keeper.InForce{Config: []byte(newer), Version: 9, Evacuations: []keeper.Evacuation{{Zone: "north", Stamp: tide.Stamp{Number: 4, By: "d"}, On: true}}}
+		from.pilot.news(from.pilot.room.Ordered(f))
+	})
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); {
+		s, err := Ask(to.pilot.sheet.Talk, Question{}, 5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Version == 9 {
+			if r, _ := to.send("GET", "shop.example", "/read/", "evacuated", "", nil); r.StatusCode != http.StatusServiceUnavailable {
+				t.Fatalf("in a zone that is evacuated: %s", r.Status)
+			}
+			return
+		}
+	}
+	t.Fatal("the other pilot does not hear of it")
+}
+
 // Each process tells how things are, and pilots the story of a request.
 func TestAMeshExplainsItself(t *testing.T) {
 	m, from, to := calm(t)
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -55,6 +55,7 @@
 
 	room    *lamp.Chartroom
 	links   *links
+	watch   *watchers
 	sheet   beacon.Sheet
 	view    atomic.Pointer[view]
 	fairway map[string]*fairway // by service
@@ -64,6 +65,7 @@
 	story   *story.Recorder
 	talk    net.Listener
 	opined  time.Time
+	bulk    bulk
 	leaving atomic.Bool
 
 	running   sync.WaitGroup
@@ -98,6 +100,8 @@
 	p.witness = newWitness()
 	p.story = story.New(storyEvents)
 	p.links = newLinks(p)
+	p.watch = newWatchers(p)
+	p.bulk.left.Store(int64(bulkPart * float64(s.MemoryMB) * (1 << 20)))
 	var err error
 	if p.control, err = net.Listen("tcp", s.Control); err != nil {
 		return nil, Start.Wrap(err, "listen")
@@ -226,6 +230,7 @@
 	}
 	p.quay.look()
 	p.links.tick()
+	p.watch.tick(now)
 	if now.Sub(p.opined) >= opineEvery {
 		p.opined = now
 		p.links.opine(now)
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -314,7 +314,13 @@
 }
 
 // Open sees the head of a request that another pilot sends.
-func (q *quay) Open(e *sidecar.Errand) (int64, *sidecar.Reply) { return mostBody, nil }
+func (q *quay) Open(e *sidecar.Errand) (int64, *sidecar.Reply) {
+	most, no := q.p.bulk.take(e, mostBody)
+	if no != nil {
+		no.Header = http.Header{wordHeader: {wordTurned + pier.Full.String()}}
+	}
+	return most, no
+}
 
 // Serve takes a request of another pilot to the endpoint.
 func (q *quay) Serve(ctx context.Context, e *sidecar.Errand) sidecar.Reply {
--- a/internal/sidecar/port.go
+++ b/internal/sidecar/port.go
@@ -58,6 +58,7 @@
 	Body              []byte
 	Came              time.Time // its head had been read then
 	From              string    // the caller's address
+	Release           func()    // is called once the errand is over; nil for nothing
 }
 
 // Reply is the answer to an errand.
@@ -127,7 +128,7 @@
 	if at != nil {
 		return taken{fixed: at.answer()}
 	}
-	return taken{most: most, serve: func(ctx context.Context, body []byte) answer {
+	return taken{most: most, done: e.Release, serve: func(ctx context.Context, body []byte) answer {
 		e.Body = body
 		r := desk.Serve(ctx, e)
 		return *r.answer()
