Let each pilot always have five calls out for each endpoint

Cause: a pilot that starts, or whose endpoints go and come, is left with the room of the few that it knew: 5.6 calls for four endpoints, for many seconds (the room rises only while answers take less than 1.3 times the least mean). Change: Limits.LeastRoom, none unless told; pilots tell 5 for each endpoint, as the gates know how many are too many.

--- a/api.go
+++ b/api.go
@@ -61,6 +61,7 @@
 	ConnectTimeout float64
 	ConnIdle       float64 // an idle connection closes after this; 0 = not told
 	Streams        int     // attempts that one connection carries at once; default 1
+	LeastRoom      float64 // calls out at once for each server that serves that are always let out; the servers refuse what is too much
 	RefuseEmpty    bool    // with no server to send to, calls are ended at once instead of waiting for one
 }
 
--- a/balancer.go
+++ b/balancer.go
@@ -966,7 +966,7 @@
 	if b.set.Stage > 0 {
 		return
 	}
-	b.room = cmp.Or(b.room, b.firstRoom)
+	b.room = max(cmp.Or(b.room, b.firstRoom), b.set.Limits.LeastRoom*b.serving)
 	p95, ok := b.p95(nil)
 	waits, slow := b.typical/(waitOver*b.calm), p95/shedOver
 	if math.IsInf(b.calm, 1) {
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -33,6 +33,7 @@
 	sameCold    = time.Second
 	pilotIdle   = 15 * time.Second
 	topWorth    = 4.0
+	leastRoom   = 5    // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
 	manyStreams = 1024 // connections between pilots are opened as they are needed: the gate counts those to endpoints
 )
 
@@ -127,7 +128,7 @@
 	zones := f.zones()
 	set := whinknot.Settings{
 		Copies: f.copies, Rank: f.rank, Zone: slices.Index(zones, s.Zone),
-		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, Streams: manyStreams, ConnIdle: float64(pilotIdle.Milliseconds())},
+		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, Streams: manyStreams, LeastRoom: leastRoom, ConnIdle: float64(pilotIdle.Milliseconds())},
 	}
 	for _, k := range w.classes {
 		c := whinknot.Class{Name: "class", Worth: topWorth / float64(int(1)<<min(max(k.priority, 0), 16)), LateWorth: lateWorth,
