Take 0.7 of a route's deadline for a request's aim, where that is more

Change: the module's aim is 0.7 of the deadline where that is more; at a gate a request still waits a quarter of its own aim, 60 ms at the least.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -22,19 +22,21 @@
 )
 
 const (
-	aimPart     = 0.25 // of its aim that a request may wait at a gate without having been offered
-	usualAim    = 500 * time.Millisecond
-	usualTime   = 5 * time.Second
-	moreTries   = 3   // attempts beyond those that may reach an endpoint: gates turn some away
-	coldFrom    = 0.3 // share of its capacity that a cold endpoint is taken to bear at first
-	backPart    = 0.25
-	lateWorth   = 0.3
-	retireTime  = 30 * time.Second
-	sameCold    = time.Second
-	pilotIdle   = 15 * time.Second
-	topWorth    = 4.0
-	leastRoom   = 5    // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
-	manyStreams = 1024 // connections between pilots are opened as they are needed: the gate counts those to endpoints
+	aimPart       = 0.25 // of its aim that a request may wait at a gate without having been offered
+	usualAim      = 500 * time.Millisecond
+	usualTime     = 5 * time.Second
+	moreTries     = 3   // attempts beyond those that may reach an endpoint: gates turn some away
+	coldFrom      = 0.3 // share of its capacity that a cold endpoint is taken to bear at first
+	backPart      = 0.25
+	lateWorth     = 0.3
+	retireTime    = 30 * time.Second
+	sameCold      = time.Second
+	pilotIdle     = 15 * time.Second
+	topWorth      = 4.0
+	leastPatience = 60 * time.Millisecond
+	deadlinePart  = 0.7  // of its route's deadline is what the module takes for a request's aim at least: a late answer earns something too
+	leastRoom     = 5    // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
+	manyStreams   = 1024 // connections between pilots are opened as they are needed: the gate counts those to endpoints
 )
 
 // fairway is the way to one service: its decision module, and the endpoints that it is told of.
@@ -97,6 +99,7 @@
 	if k.aim == 0 {
 		k.aim = usualAim
 	}
+	k.aim = max(k.aim, time.Duration(deadlinePart*float64(r.Deadline)))
 	return k
 }
 
@@ -295,7 +298,7 @@
 	e.Header.Del(deadlineHeader)
 	e.Header.Del(targetHeader)
 	e.Header.Del(callerHeader)
-	t := &trip{f: f, e: e, r: r, patience: time.Duration(aimPart * float64(key.aim))}
+	t := &trip{f: f, e: e, r: r, patience: max(time.Duration(aimPart*float64(r.Aim)), leastPatience)}
 	id := e.Header.Get(idHeader)
 	f.p.note(id, "event=taken route="+r.Name+" service="+f.name+" version=r"+strconv.FormatUint(f.p.view.Load().chart.Version, 10))
 	reply, ok := service.Do(ctx, &sidecar.Job{
