Let nothing in at a gate that does not know yet what was ordered or promised

Cause, found by reading: a pilot that starts anew beside an endpoint that drains took the next beat for the first notice, and let requests in for a second more, maybe after the drain's time; and one whose endpoint beats before the configuration comes did not know whether its zone is evacuated. Change: an endpoint first heard of as draining gets nothing; a gate is shut until it was told the orders. Result: tests of both.

--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -91,6 +91,7 @@
 	closeAt   time.Time // with Draining: nothing is let in from then on
 	leaveAt   time.Time // this pilot ends; zero for not
 	evacuated bool
+	ordered   bool // what operators have ordered is known: until then nothing is let in
 	doubtful  bool // the endpoint may have become cold unheard
 	inside    int
 	waiting   []*Ticket
@@ -120,6 +121,7 @@
 // Enter is the one function that changes the state: a life is in a state from now on. It tells whether anything changed. A
 // life that has ended stays so, and one that drains never serves again.
 func (g *Gate) Enter(now time.Time, life string, to State) bool {
+	fresh := life != g.life
 	switch {
 	case g.ended[life] && to != Gone:
 		return false
@@ -137,10 +139,13 @@
 	case g.state == Draining && (to == Serving || to == Down):
 		return false
 	}
+	first := g.state == Unknown || fresh
 	g.state = to
 	switch to {
 	case Draining:
-		g.closeAt = now.Add(time.Duration(drainPart * float64(g.bounds.Drain)))
+		if g.closeAt = now; !first { // of one that is first heard of like that, an earlier process may have promised it long ago
+			g.closeAt = now.Add(time.Duration(drainPart * float64(g.bounds.Drain)))
+		}
 	case Gone:
 		g.ended[life] = true
 	}
@@ -163,7 +168,7 @@
 	if g.evacuated && !on {
 		g.doubtful = true
 	}
-	g.evacuated = on
+	g.evacuated, g.ordered = on, true
 }
 
 // Doubt says that the endpoint may be cold, until it says more.
@@ -174,7 +179,7 @@
 	switch {
 	case life != g.life && g.life != "":
 		return OtherLife
-	case g.state == Unknown || g.state == Down || g.state == Gone:
+	case !g.ordered || g.state == Unknown || g.state == Down || g.state == Gone:
 		return NoLife
 	case g.evacuated:
 		return Evacuated
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -12,6 +12,7 @@
 
 func gate(b Bounds) *Gate {
 	g := New(b)
+	g.Evacuate(false)
 	g.Enter(start, "life", Serving)
 	g.Said(start, 9, 0)
 	return g
@@ -114,6 +115,27 @@
 	}
 }
 
+// A gate that has just started lets nothing in before it knows what was ordered, and nothing to an endpoint that it first hears of
+// as draining: an earlier process may have acknowledged that long ago.
+func TestAGateThatHasJustStarted(t *testing.T) {
+	g := New(Bounds{Drain: 2 * time.Second})
+	g.Enter(start, "life", Serving)
+	g.Said(start, 9, 0)
+	if v := ask(g, start); v != NoLife {
+		t.Errorf("before it knows whether its zone is evacuated: %v", v)
+	}
+	g.Evacuate(true)
+	if v := ask(g, start); v != Evacuated {
+		t.Errorf("in a zone that is: %v", v)
+	}
+	g = New(Bounds{Drain: 2 * time.Second})
+	g.Evacuate(false)
+	g.Enter(start, "life", Draining)
+	if v := ask(g, start); v != Leaving {
+		t.Errorf("to an endpoint that drains: %v", v)
+	}
+}
+
 // Between an evacuation and the next word of the endpoint it may be cold, and is taken for it.
 func TestAfterAnEvacuationAnEndpointMayBeCold(t *testing.T) {
 	g := gate(Bounds{WarmupRate: 2, WarmupExcess: 1, WarmupSlack: 2})
