Test calls, their answers and the wire between own processes

Need: bad input is to get its error and lose nothing. Change: tables of calls, too many at once, frames over the bound, foreign and silent peers.

--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,96 @@
+package orders
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"whinknot/internal/beacon"
+)
+
+const goodBeat = `{"target":"one","address":"10.0.0.9:8080","zone":"north","epoch":"v1","capacity":9,"state":"draining","warmup_left_s":1.5,"call_seq":4,"later":1}`
+
+func TestCallsBecomeCommands(t *testing.T) {
+	for _, c := range []struct {
+		method, path, body string
+		want               Command
+		status             int
+	}{
+		{"GET", "/api/readiness", "", Readiness{}, 0},
+		{"POST", "/api/Endpoints.Heartbeat/i-1", goodBeat, Heartbeat{
+			Endpoint: beacon.Endpoint{ID: "i-1", Target: "one", State: beacon.Draining, Capacity: 9, Cold: 1500 * time.Millisecond},
+			Address:  "10.0.0.9:8080", Zone: "north", Epoch: "v1", Sequence: 4,
+		}, 0},
+		{"POST", "/api/Endpoints.Deregister/i-1", "{}", Deregister{"i-1"}, 0},
+		{"POST", "/api/Config.Replace", "x", ReplaceConfig{[]byte("x")}, 0},
+		{"GET", "/api/Config.Read", "", ReadConfig{}, 0},
+		{"POST", "/api/Evacuation.Begin/north", "", BeginEvacuation{"north"}, 0},
+		{"POST", "/api/Evacuation.Finish/north", "", FinishEvacuation{"north"}, 0},
+		{"GET", "/api/Evacuation.Finish/north", "", nil, http.StatusMethodNotAllowed},
+		{"POST", "/api/Evacuation.Begin/", "", nil, http.StatusBadRequest},
+		{"POST", "/api/Endpoints.Heartbeat/i-1", goodBeat[:40], nil, http.StatusBadRequest},
+		{"POST", "/api/Endpoints.Heartbeat/i-1", strings.Replace(goodBeat, "draining", "dancing", 1), nil, http.StatusBadRequest},
+		{"POST", "/api/Nothing", "", nil, http.StatusNotFound},
+		{"GET", "/", "", nil, http.StatusNotFound},
+	} {
+		got, status, err := Decode(c.method, c.path, []byte(c.body))
+		if !reflect.DeepEqual(got, c.want) || status != c.status || (err == nil) != (c.want != nil) {
+			t.Errorf("%s %s: %+v %d %v", c.method, c.path, got, status, err)
+		}
+	}
+}
+
+// A command is run elsewhere, its result is given once, and a body over the bound becomes no command.
+func TestResultsBecomeAnswers(t *testing.T) {
+	runs := 0
+	h := NewHandler(func(c Command, then func(Result)) {
+		runs++
+		then(Result{Status: http.StatusTeapot, Body: []byte("{}"), JSON: true})
+		then(Result{Status: http.StatusOK})
+	})
+	call := func(path, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("POST", path, strings.NewReader(body)))
+		return w
+	}
+	if w := call("/api/Evacuation.Begin/north", ""); w.Code != http.StatusTeapot || w.Body.String() != "{}" || w.Header().Get("Content-Type") != "application/json" {
+		t.Errorf("%d %q %v", w.Code, w.Body, w.Header())
+	}
+	if w := call("/api/Endpoints.Heartbeat/i", strings.Repeat(" ", maxBeat+1)); w.Code != http.StatusBadRequest || runs != 1 {
+		t.Errorf("a body over the bound: %d after %d runs", w.Code, runs)
+	}
+}
+
+// With too many under way a call is told to come again, and nothing of it is done.
+func TestTooManyCalls(t *testing.T) {
+	held := make(chan func(Result), queueing+1)
+	h := NewHandler(func(_ Command, then func(Result)) { held <- then })
+	done := make(chan int, queueing)
+	for range queueing {
+		go func() {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest("GET", "/api/Config.Read", nil))
+			done <- w.Code
+		}()
+	}
+	var thens []func(Result)
+	for range queueing {
+		thens = append(thens, <-held)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("GET", "/api/Config.Read", nil))
+	if w.Code != http.StatusServiceUnavailable || len(held) != 0 {
+		t.Errorf("one more: %d", w.Code)
+	}
+	for _, then := range thens {
+		then(Result{Status: http.StatusOK})
+	}
+	for range queueing {
+		if code := <-done; code != http.StatusOK {
+			t.Errorf("one that was taken: %d", code)
+		}
+	}
+}
--- /dev/null
+++ b/internal/signal/signal_test.go
@@ -0,0 +1,103 @@
+package signal
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+type message struct {
+	Text string
+	N    uint64
+	Many []string
+}
+
+// pair is two ends of a connection on loopback.
+func pair(t *testing.T) (a, b net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if a, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if b, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return a, b
+}
+
+func TestMessagesThereAndBack(t *testing.T) {
+	a, b := pair(t)
+	ends := make(chan *Conn, 1)
+	go func() {
+		c, _ := New(b, 5*time.Second)
+		ends <- c
+	}()
+	left, err := New(a, 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	right := <-ends
+	for i := range 50 {
+		sent := message{Text: strings.Repeat("x", i*1000), N: uint64(i), Many: []string{"a"}}
+		if err := left.Send(&sent); err != nil {
+			t.Fatal(err)
+		}
+		var got message
+		if err := right.Receive(&got); err != nil || got.Text != sent.Text || got.N != sent.N {
+			t.Fatalf("message %d: %v", i, err)
+		}
+	}
+}
+
+// What a peer sends that is not of this wire costs it its connection, and no more memory than a frame's bound.
+func TestForeignPeers(t *testing.T) {
+	huge := binary.BigEndian.AppendUint32(nil, maxFrame+1)
+	for name, c := range map[string]struct {
+		bytes string
+		greet bool
+	}{
+		"another greeting": {"GET / HTTP/1.1\r\n\r\n", true},
+		"a huge frame":     {magic + string(huge), false},
+		"no message":       {magic + "\x00\x00\x00\x03abc", false},
+	} {
+		a, b := pair(t)
+		if _, err := io.WriteString(b, c.bytes); err != nil {
+			t.Fatal(err)
+		}
+		conn, err := New(a, 5*time.Second)
+		if err == nil {
+			var m message
+			err = conn.Receive(&m)
+		} else if !c.greet {
+			t.Errorf("%s: greeting fails: %v", name, err)
+		}
+		if !errorx.IsOfType(err, Foreign) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestASilentPeerIsGone(t *testing.T) {
+	a, b := pair(t)
+	if _, err := io.WriteString(b, magic); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := New(a, 30*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m message
+	if err := conn.Receive(&m); !errorx.IsOfType(err, Broken) {
+		t.Fatalf("%v", err)
+	}
+}
