Believe a pilot whose clock went back, and stand still without calling others dark

A lighthouse that was frozen found every pilot silent when it woke.

Change: a lighthouse tells such a pilot the number to outlive; one that has not looked for three pulses blames itself. Result: a test of the first, which fails without it.

--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -40,6 +40,7 @@
 	Gone    []string // nodes forgotten
 	InForce *keeper.InForce
 	Core    []Machine // machines of the core
+	Outlive uint64    // a life of this pilot that is newer by its number than the one it says: its clock went back
 	Asked   *Question // if another one than before
 	Sighted bool      // this lighthouse sees most of the core: what it calls dark is dark
 }
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -32,6 +32,7 @@
 const (
 	pulse      = 500 * time.Millisecond  // between two words to each pilot and lighthouse
 	silence    = 1800 * time.Millisecond // after which a connection counts as dead
+	sleepTicks = 3                       // pulses without a look after which it is this process that stood still
 	vouchTicks = 2                       // pulses from one vouching for all pilots to the next
 	darkAfter  = 2500 * time.Millisecond // a pilot that nobody has heard of
 	forget     = 30 * time.Second
@@ -58,6 +59,7 @@
 	across   map[string]bool // nodes to be told to other lighthouses
 	pushing  bool
 	ticks    int
+	ticked   time.Time
 	waits    []*wait
 	council  *council
 
@@ -377,6 +379,9 @@
 	l.council.heard(k, up.Opinions)
 	if up.Sheet != nil && up.Sheet.Node == k.node {
 		k.life = up.Sheet.Life
+		if known, ok := l.registry.Get(k.node); ok && known.Life > k.life {
+			l.say(k, &lamp.Down{Outlive: known.Life, Sighted: k.sight})
+		}
 		if l.registry.Put(now, *up.Sheet) {
 			l.across[k.node] = true
 			l.note(k.node)
@@ -500,7 +505,9 @@
 // tick ages what is known and says to everybody that this lighthouse is there.
 func (l *Lighthouse) tick() {
 	now := time.Now()
-	for _, node := range l.registry.Age(now, l.sighted()) {
+	awake := now.Sub(l.ticked) < sleepTicks*pulse // else this process stood still, and not the pilots
+	l.ticked = now
+	for _, node := range l.registry.Age(now, l.sighted() && awake) {
 		l.log.Info().Str("pilot", node).Msg("pilot is dark or forgotten")
 		l.note(node)
 	}
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -207,6 +207,10 @@
 
 // hear takes news and acknowledges it.
 func (l *links) hear(k *link, d *lamp.Down) {
+	if d.Outlive >= l.p.sheet.Life {
+		l.p.sheet.Life = d.Outlive + 1
+		l.p.say()
+	}
 	if d.Asked != nil {
 		l.p.witness.asked(k.ip, d.Asked.Lives)
 	}
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -86,6 +86,7 @@
 	s      *berth.Settings
 	id     string
 	pilot  *Pilot
+	stop   func()
 	server *httptest.Server
 	seq    int
 
@@ -106,7 +107,10 @@
 	e.pilot = p
 	ctx, stop := context.WithCancel(context.Background())
 	m.t.Cleanup(stop)
-	m.done.Go(func() { p.Run(ctx) })
+	var ended sync.WaitGroup
+	ended.Go(func() { p.Run(ctx) })
+	e.stop = func() { stop(); ended.Wait() }
+	m.done.Go(ended.Wait)
 	ln, err := net.Listen("tcp", e.s.LocalApp)
 	if err != nil {
 		m.t.Fatal(err)
@@ -421,6 +425,32 @@
 	}
 }
 
+// A pilot that is started anew on a machine whose clock went back is believed all the same.
+func TestAClockThatWentBack(t *testing.T) {
+	_, from, to := calm(t)
+	to.stop()
+	to.mu.Lock()
+	to.id = "i-to-again"
+	to.mu.Unlock()
+	p, err := New(to.s, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.sheet.Life = 1
+	ctx, stop := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	ended.Go(func() { p.Run(ctx) })
+	defer ended.Wait()
+	defer stop()
+	to.beat("serving")
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if r, _ := from.send("GET", "shop.example", "/read/", "again", "", nil); r.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Fatal("its endpoint is not reached any more")
+}
+
 // While no lighthouse can be reached, what one pilot goes by reaches the others that watch it.
 func TestPilotsTellEachOtherWhileTheCoreIsAway(t *testing.T) {
 	m, from, to := calm(t)
