Acknowledge a configuration on every link at once; follow a changed service name

Cause: a pilot gets a configuration from its nearest lighthouse and said so to the others only with its next beat, so each order waited the whole quarter of a second; and a settings file that names another service was not followed for X-Caller-Service. Change: every lighthouse hears as soon as a version is gone by; the name is read with the settings.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -357,7 +357,7 @@
 	b.WriteString(t.e.Method + " " + t.e.URI + " HTTP/1.1\r\nHost: " + t.e.Host + "\r\n")
 	sidecar.WriteLines(b, t.e.Header)
 	sidecar.WriteLine(b, targetHeader, life)
-	sidecar.WriteLine(b, callerHeader, t.f.p.s.Target)
+	sidecar.WriteLine(b, callerHeader, t.f.p.service())
 }
 
 // cross carries one attempt to the pilot beside an endpoint. Attempts of one request follow each other.
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -205,6 +205,15 @@
 	}
 }
 
+// holds tells all lighthouses that another version is gone by: orders wait for that.
+func (l *links) holds() {
+	for _, k := range l.active {
+		if k.conn != nil {
+			l.send(k, l.up(k))
+		}
+	}
+}
+
 // hear takes news and acknowledges it.
 func (l *links) hear(k *link, d *lamp.Down) {
 	if d.Outlive >= l.p.sheet.Life {
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -66,6 +66,7 @@
 	talk    net.Listener
 	opined  time.Time
 	bulk    bulk
+	target  atomic.Pointer[string]
 	leaving atomic.Bool
 
 	running   sync.WaitGroup
@@ -92,6 +93,7 @@
 		fairway: map[string]*fairway{}, shunned: map[string]time.Time{},
 	}
 	p.view.Store(&view{})
+	p.target.Store(&s.Target)
 	p.sheet = beacon.Sheet{
 		Node: s.Node, Zone: s.Zone, Life: uint64(time.Now().UnixNano()), Number: 1, Inbound: s.Inbound,
 		Talk: net.JoinHostPort(s.IP, fmt.Sprint(s.Port(shore.PilotPort))),
@@ -188,9 +190,13 @@
 
 // Changed takes settings that were read again.
 func (p *Pilot) Changed(s *berth.Settings) {
+	p.target.Store(&s.Target)
 	p.post(func() { p.links.settings(s) })
 }
 
+// service is the name of the service that runs on this machine, by the settings as they were last read.
+func (p *Pilot) service() string { return *p.target.Load() }
+
 func (p *Pilot) loop() {
 	defer close(p.over)
 	tick := time.NewTicker(lookEvery)
@@ -247,6 +253,7 @@
 func (p *Pilot) news(c lamp.Change) {
 	if c.Config {
 		p.rechart()
+		p.links.holds()
 	}
 	if c.Zones || c.Config {
 		p.quay.removal(p.room)
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -86,7 +86,7 @@
 	b := &q.p.s.Bounds
 	out := pier.Bounds{Drain: b.Drain, WarmupExcess: b.WarmupExcess, WarmupSlack: b.WarmupSlack}
 	if c != nil {
-		if s := c.Services[q.p.s.Target]; s != nil {
+		if s := c.Services[q.p.service()]; s != nil {
 			out.WarmupRate, out.MaxConns = s.WarmupRate, s.MaxConns
 		}
 	}
@@ -99,7 +99,7 @@
 	q.gate.Bound(q.bounds(c))
 	q.gate.Evacuate(evacuated)
 	if c != nil {
-		if s := c.Services[q.p.s.Target]; s != nil {
+		if s := c.Services[q.p.service()]; s != nil {
 			q.probe = s.Probe
 		}
 	}
@@ -284,7 +284,7 @@
 		}
 		if _, now := q.gate.State(); now == id {
 			if q.target == "" {
-				q.target = q.p.s.Target
+				q.target = q.p.service()
 			}
 			cold, told := coldLeft(r.Header)
 			if told {
