--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -63,7 +63,7 @@
 const (
 	drainPart = 0.5         // of the drain's time in which the gate still lets in what was on its way
 	second    = time.Second // the span that the rule about cold endpoints counts in
-	coldPart  = 1.2         // of the rate that a cold endpoint bears
+	coldPart  = 1.0         // of the rate that a cold endpoint bears
 	usedPart  = 0.6         // of what the rule allows, at most
 	fewSlots  = 1
 )
