--- a/internal/berth/berth.go
+++ b/internal/berth/berth.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"strconv"
@@ -242,5 +243,21 @@
 	b.WarmupExcess, b.WarmupSlack = figure("warmup_excess", 1), figure("warmup_slack", 0)
 }
 
+// SeedIPs are the addresses of the machines that the seeds name.
+func (s *Settings) SeedIPs() []string {
+	var out []string
+	for _, seed := range s.Seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, ip)
+		}
+	}
+	return out
+}
+
+// At is where a process of the system listens on a machine, by the place of its port.
+func (s *Settings) At(ip string, place int) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.Port(place)))
+}
+
 // Port is one of the ports that processes of the system have for their own talk, by its place from 0.
 func (s *Settings) Port(place int) int { return s.PortFrom + place }
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"whinknot/internal/helm"
+	"whinknot/internal/shore"
 	"whinknot/internal/tide"
 )
 
@@ -60,11 +61,9 @@
 
 // resign names a successor, if this process has the duty: the member that answered last.
 func (k *Keeper) resign() {
-	done := make(chan struct{})
-	k.post(func() {
-		defer close(done)
+	shore.Ask(k.loop, func() (none struct{}) {
 		if k.duty.State() != helm.Holding {
-			return
+			return none
 		}
 		var next *peer
 		for _, p := range k.peers {
@@ -78,11 +77,8 @@
 			next.conn.Send(&Ask{ID: next.lastID, From: k.me, Set: k.set, Duty: &DutyAsk{Term: k.duty.Term(), Holder: k.me.Disk, Succeed: true}})
 		}
 		k.duty.Lost(time.Now(), 0)
+		return none
 	})
-	select {
-	case <-done:
-	case <-k.over:
-	}
 }
 
 // dutyTick asks for the duty if nobody does it, and does it if it is this process's.
@@ -124,6 +120,7 @@
 	}
 	ask := Ask{Duty: &DutyAsk{Term: term, Holder: k.me.Disk, Promise: true}}
 	granted := func(t *Tell) bool { return t.Duty != nil && t.Duty.Granted }
+	// Never a round: the second answer to such an ask would be another.
 	k.poll(ask, granted, func(tells []*Tell, ok bool) {
 		highest, best := uint64(0), k.duty.Vow()
 		for _, t := range tells {
@@ -146,47 +143,6 @@
 	})
 }
 
-// poll asks every peer once, and ends as soon as a majority of the disks that count says yes, or all have answered. An ask
-// about the duty is never sent twice: the second answer to it would be another.
-func (k *Keeper) poll(a Ask, yes func(*Tell) bool, then func(tells []*Tell, ok bool)) {
-	begun := k.set.Number
-	votes := map[string]bool{k.me.Disk: true}
-	var tells []*Tell
-	ended, waiting := false, len(k.peers)
-	end := func(ok bool) {
-		if !ended {
-			ended = true
-			then(tells, ok)
-		}
-	}
-	if k.set.Reached(votes) {
-		end(true)
-		return
-	}
-	for _, p := range k.peers {
-		k.ask(p, a, func(t *Tell) {
-			waiting--
-			if t != nil && !t.Behind {
-				tells = append(tells, t)
-				if yes(t) {
-					votes[t.From.Disk] = true
-				}
-			}
-			switch {
-			case k.set.Number != begun:
-				end(false)
-			case k.set.Reached(votes):
-				end(true)
-			case waiting == 0:
-				end(false)
-			}
-		})
-	}
-	if waiting == 0 {
-		end(false)
-	}
-}
-
 // change changes the set of disks by one: a majority that goes by the present set tells all that it holds; that is spread to
 // a majority, and to a disk that comes; the next set is accepted by a majority of the present one, and goes round.
 //
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -47,24 +47,21 @@
 	s    *berth.Settings
 	log  zerolog.Logger
 	book *logbook.Book
-	mail chan func()
-	over chan struct{}
+	loop *shore.Loop
 
 	me       tide.Member
 	set      tide.Set
 	copy     *tide.Copy
-	settled  map[string]tide.Stamp // by key, the newest version that a majority is known to hold
-	settles  uint64                // counts changes of that
-	peers    map[string]*peer      // by address
-	boats    map[*boat]bool        // lighthouses
+	settled  map[string]tide.Stamp   // by key, the newest version that a majority is known to hold
+	settles  uint64                  // counts changes of that
+	peers    map[string]*peer        // by address
+	boats    map[*signal.Outbox]bool // lighthouses
 	lastTold *InForce
 	duty     *helm.Machine
 	changing bool // the holder changes the set
 	running  sync.WaitGroup
 	listener net.Listener
 	ctx      context.Context
-	conns    map[*signal.Conn]bool
-	connsMu  sync.Mutex
 }
 
 // peer is another keeper, as this one sees it.
@@ -79,18 +76,11 @@
 	set    uint64 // number of the set that it goes by
 	knows  bool   // it was told who asks, on this connection
 	told   uint64 // count of what was settled, as it was told
-	end    chan struct{}
-}
-
-// boat is a lighthouse that is connected.
-type boat struct {
-	conn *signal.Conn
-	out  chan *Word
 }
 
 // Address is where the keeper of a machine listens, for its own kind and for lighthouses.
 func Address(ip string, s *berth.Settings) string {
-	return net.JoinHostPort(ip, fmt.Sprint(s.Port(shore.KeeperPort)))
+	return s.At(ip, shore.KeeperPort)
 }
 
 // New opens the disk and the port.
@@ -106,8 +96,8 @@
 		log.Error().Err(spoilt).Msg("disk counts as lost")
 	}
 	k := &Keeper{
-		s: s, log: log, book: book, mail: make(chan func(), 256), over: make(chan struct{}), settled: map[string]tide.Stamp{},
-		peers: map[string]*peer{}, boats: map[*boat]bool{}, conns: map[*signal.Conn]bool{},
+		s: s, log: log, book: book, loop: shore.NewLoop(256), settled: map[string]tide.Stamp{},
+		peers: map[string]*peer{}, boats: map[*signal.Outbox]bool{},
 	}
 	if err := k.recall(); err != nil {
 		book.Close()
@@ -160,11 +150,7 @@
 // that all know then, and that no disk is ever given again.
 func (k *Keeper) found() {
 	first := tide.Set{Number: 1}
-	for _, seed := range slices.Sorted(slices.Values(k.s.Seeds)) {
-		ip, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			continue
-		}
+	for _, ip := range slices.Sorted(slices.Values(k.s.SeedIPs())) {
 		if ip == k.s.IP {
 			k.me.Disk = ip + "#first"
 		}
@@ -177,80 +163,27 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
 	k.ctx = inner
-	k.running.Go(k.accept)
-	k.running.Go(k.loop)
-	k.post(func() { k.meetSeeds(); k.tick() })
+	k.running.Go(func() { signal.Serve(inner, k.listener, func(raw net.Conn) { k.running.Go(func() { k.serve(raw) }) }) })
+	k.running.Go(func() { k.loop.Run(inner, pulse, k.tick) })
+	k.loop.Post(func() { k.meetSeeds(); k.tick() })
 	<-ctx.Done()
 	k.log.Info().Msg("ending")
 	k.resign()
 	stop()
 	k.listener.Close()
-	k.connsMu.Lock()
-	for c := range k.conns {
-		c.Close()
-	}
-	k.connsMu.Unlock()
 	k.running.Wait()
 	return k.book.Close()
 }
 
 // Changed takes settings that were read again.
 func (k *Keeper) Changed(s *berth.Settings) {
-	k.post(func() { k.s = s; k.meetSeeds() })
-}
-
-func (k *Keeper) loop() {
-	defer close(k.over)
-	tick := time.NewTicker(pulse)
-	defer tick.Stop()
-	for {
-		select {
-		case <-k.ctx.Done():
-			for _, p := range k.peers {
-				p.hangUp()
-			}
-			return
-		case f := <-k.mail:
-			f()
-		case <-tick.C:
-			k.tick()
-		}
-	}
-}
-
-// post has the loop run f, unless it is over.
-func (k *Keeper) post(f func()) {
-	select {
-	case k.mail <- f:
-	case <-k.over:
-	}
-}
-
-// hold remembers a connection, to close it at the end; false once that has come.
-func (k *Keeper) hold(c *signal.Conn) bool {
-	k.connsMu.Lock()
-	defer k.connsMu.Unlock()
-	if k.ctx.Err() != nil {
-		c.Close()
-		return false
-	}
-	k.conns[c] = true
-	return true
-}
-
-func (k *Keeper) drop(c *signal.Conn) {
-	c.Close()
-	k.connsMu.Lock()
-	defer k.connsMu.Unlock()
-	delete(k.conns, c)
+	k.loop.Post(func() { k.s = s; k.meetSeeds() })
 }
 
 // meetSeeds gets to know the keepers beside the machines that the settings name, and those of the set.
 func (k *Keeper) meetSeeds() {
-	for _, seed := range k.s.Seeds {
-		if ip, _, err := net.SplitHostPort(seed); err == nil {
-			k.meet(Address(ip, k.s))
-		}
+	for _, ip := range k.s.SeedIPs() {
+		k.meet(Address(ip, k.s))
 	}
 	for _, m := range k.set.Members {
 		k.meet(m.Addr)
@@ -262,7 +195,7 @@
 	if addr == "" || addr == k.me.Addr || k.peers[addr] != nil {
 		return
 	}
-	p := &peer{addr: addr, asks: map[uint64]func(*Tell){}, met: time.Now(), end: make(chan struct{})}
+	p := &peer{addr: addr, asks: map[uint64]func(*Tell){}, met: time.Now()}
 	k.peers[addr] = p
 	k.running.Go(func() { k.follow(p) })
 }
@@ -270,36 +203,28 @@
 // follow holds a connection to a peer.
 func (k *Keeper) follow(p *peer) {
 	for k.ctx.Err() == nil {
-		conn, err := signal.Dial(p.addr, silence)
-		if err == nil && k.hold(conn) {
+		conn, err := signal.Dial(k.ctx, p.addr, silence)
+		if err == nil {
 			hello := Hello{Keeper: &k.me}
 			if err = conn.Send(&hello); err == nil {
-				k.post(func() { p.conn, p.knows, p.told, p.set = conn, false, 0, 0; k.look(p) })
+				k.loop.Post(func() { p.conn, p.knows, p.told, p.set = conn, false, 0, 0; k.look(p) })
 				for err == nil {
 					var t Tell
 					if err = conn.Receive(&t); err == nil {
-						k.post(func() { k.told(p, &t) })
+						k.loop.Post(func() { k.told(p, &t) })
 					}
 				}
 			}
-			k.drop(conn)
-			k.post(func() { k.lost(p, conn) })
+			conn.Close()
+			k.loop.Post(func() { k.lost(p, conn) })
 		}
 		select {
 		case <-k.ctx.Done():
-		case <-p.end:
-			return
 		case <-time.After(pulse/2 + rand.N(pulse/2)):
 		}
 	}
 }
 
-func (p *peer) hangUp() {
-	if p.conn != nil {
-		p.conn.Close()
-	}
-}
-
 // lost notes that a connection ended: what was asked over it has no answer.
 func (k *Keeper) lost(p *peer, conn *signal.Conn) {
 	if p.conn != conn {
@@ -334,7 +259,7 @@
 	p.asks[id] = then
 	k.running.Go(func() { conn.Send(&a) })
 	time.AfterFunc(askTime, func() {
-		k.post(func() {
+		k.loop.Post(func() {
 			if f := p.asks[id]; f != nil {
 				delete(p.asks, id)
 				f(nil)
@@ -456,38 +381,20 @@
 	Status     bool         // or one that only asks how things are: a Status is the answer
 }
 
-func (k *Keeper) accept() {
-	for {
-		raw, err := k.listener.Accept()
-		if err != nil {
-			if k.ctx.Err() != nil {
-				return
-			}
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		k.running.Go(func() { k.serve(raw) })
-	}
-}
-
 // serve answers one connection.
 func (k *Keeper) serve(raw net.Conn) {
-	conn, err := signal.New(raw, silence)
-	if err != nil || !k.hold(conn) {
+	conn, err := signal.New(k.ctx, raw, silence)
+	if err != nil {
 		return
 	}
-	defer k.drop(conn)
+	defer conn.Close()
 	var h Hello
 	if err := conn.Receive(&h); err != nil {
 		return
 	}
 	if h.Status {
-		asked := make(chan *Status, 1)
-		k.post(func() { asked <- k.status() })
-		select {
-		case s := <-asked:
+		if s, ok := shore.Ask(k.loop, k.status); ok {
 			conn.Send(s)
-		case <-k.over:
 		}
 		return
 	}
@@ -495,7 +402,7 @@
 		k.serveBoat(conn)
 		return
 	}
-	k.post(func() { k.meet(h.Keeper.Addr) })
+	k.loop.Post(func() { k.meet(h.Keeper.Addr) })
 	for {
 		var a Ask
 		if err := conn.Receive(&a); err != nil {
@@ -504,14 +411,8 @@
 			}
 			return
 		}
-		done := make(chan *Tell, 1)
-		k.post(func() { done <- k.answer(&a) })
-		select {
-		case t := <-done:
-			if conn.Send(t) != nil {
-				return
-			}
-		case <-k.over:
+		t, ok := shore.Ask(k.loop, func() *Tell { return k.answer(&a) })
+		if !ok || conn.Send(t) != nil {
 			return
 		}
 	}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -96,7 +96,7 @@
 
 // order has a keeper carry out an order; nil if it says nothing in time.
 func (f *fleet) order(i int, o Order) *Result {
-	conn, err := signal.Dial(Address(f.ip(i), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second)
+	conn, err := signal.Dial(f.t.Context(), Address(f.ip(i), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second)
 	if err != nil {
 		return nil
 	}
@@ -217,7 +217,7 @@
 // counted waits until a keeper's present disk counts: the set at the others names it.
 func (f *fleet) counted(i int, within time.Duration) {
 	f.t.Helper()
-	conn, err := signal.Dial(Address(f.ip((i+1)%3), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second)
+	conn, err := signal.Dial(f.t.Context(), Address(f.ip((i+1)%3), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -17,52 +16,30 @@
 
 // serveBoat serves a lighthouse: its orders, and what is in force.
 func (k *Keeper) serveBoat(conn *signal.Conn) {
-	b := &boat{conn: conn, out: make(chan *Word, 64)}
-	end := make(chan struct{})
-	k.running.Go(func() {
-		for {
-			select {
-			case w := <-b.out:
-				if conn.Send(w) != nil {
-					conn.Close()
-					return
-				}
-			case <-end:
-				return
-			}
-		}
-	})
-	k.post(func() {
+	b := signal.NewOutbox(conn, boatQueue)
+	k.running.Go(b.Run)
+	k.loop.Post(func() {
 		k.boats[b] = true
-		b.say(&Word{InForce: k.inForce(), Core: k.core()})
+		b.Say(&Word{InForce: k.inForce(), Core: k.core()})
 	})
-	defer func() {
-		close(end)
-		k.post(func() { delete(k.boats, b) })
-	}()
+	defer k.loop.Post(func() { delete(k.boats, b) })
 	for {
 		var o Order
 		if conn.Receive(&o) != nil {
 			return
 		}
 		if o.Kind == Beat {
-			k.post(func() { b.say(&Word{}) })
+			k.loop.Post(func() { b.Say(&Word{}) })
 			continue
 		}
-		k.post(func() {
-			k.carryOut(&o, func(r *Result) { r.ID = o.ID; b.say(&Word{Result: r, InForce: k.inForce()}) })
+		k.loop.Post(func() {
+			k.carryOut(&o, func(r *Result) { r.ID = o.ID; b.Say(&Word{Result: r, InForce: k.inForce()}) })
 		})
 	}
 }
 
-// say tells a lighthouse; one that does not take it is cut off, and comes again.
-func (b *boat) say(w *Word) {
-	select {
-	case b.out <- w:
-	default:
-		b.conn.Close()
-	}
-}
+// boatQueue is how many words a lighthouse may be behind.
+const boatQueue = 64
 
 // inForce is what a majority is known to hold.
 func (k *Keeper) inForce() *InForce {
@@ -119,7 +96,7 @@
 	}
 	k.lastTold = now
 	for b := range k.boats {
-		b.say(&Word{InForce: now, Core: k.core()})
+		b.Say(&Word{InForce: now, Core: k.core()})
 	}
 }
 
@@ -278,9 +255,21 @@
 	}
 }
 
-// round asks every peer until those that say yes are, with this one, a majority of the disks that count, or it is too late.
-// An answer from one that goes by a newer set counts for nothing: it is asked again by that set.
+// round polls again and again until it is too late, or one that is asked holds something newer.
 func (k *Keeper) round(a Ask, by time.Time, then func(tells []*Tell, ok bool), yes func(*Tell) bool) {
+	k.poll(a, yes, func(tells []*Tell, ok bool) {
+		newer := slices.ContainsFunc(tells, func(t *Tell) bool { return len(t.Entries) > 0 && !yes(t) })
+		if ok || newer || time.Now().Add(roundPause).After(by) {
+			then(tells, ok)
+			return
+		}
+		time.AfterFunc(roundPause, func() { k.loop.Post(func() { k.round(a, by, then, yes) }) })
+	})
+}
+
+// poll asks every peer once, and ends as soon as a majority of the disks that count says yes, or all have answered. An answer
+// from one that goes by a newer set counts for nothing.
+func (k *Keeper) poll(a Ask, yes func(*Tell) bool, then func(tells []*Tell, ok bool)) {
 	begun := k.set.Number
 	votes := map[string]bool{k.me.Disk: true}
 	var tells []*Tell
@@ -291,25 +280,6 @@
 			then(tells, ok)
 		}
 	}
-	again := func() {
-		if ended {
-			return
-		}
-		if time.Now().Add(roundPause).After(by) {
-			end(false)
-			return
-		}
-		newer := false
-		for _, t := range tells {
-			newer = newer || len(t.Entries) > 0 && !yes(t)
-		}
-		if newer {
-			end(false)
-			return
-		}
-		ended = true
-		time.AfterFunc(roundPause, func() { k.post(func() { k.round(a, by, then, yes) }) })
-	}
 	if k.set.Reached(votes) {
 		end(true)
 		return
@@ -317,30 +287,23 @@
 	for _, p := range k.peers {
 		k.ask(p, a, func(t *Tell) {
 			waiting--
-			if t != nil && !t.Behind && !ended {
+			if t != nil && !t.Behind {
 				tells = append(tells, t)
 				if yes(t) {
 					votes[t.From.Disk] = true
 				}
 			}
-			if !ended && k.set.Number == begun && k.set.Reached(votes) {
+			switch {
+			case k.set.Number != begun:
+				end(false)
+			case k.set.Reached(votes):
 				end(true)
-			}
-			if waiting == 0 {
-				again()
+			case waiting == 0:
+				end(false)
 			}
 		})
 	}
 	if waiting == 0 {
-		again()
-	}
-}
-
-// hostOf is the address of a machine.
-func hostOf(addr string) string {
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return addr
+		end(false)
 	}
-	return host
 }
--- a/internal/keeper/status.go
+++ b/internal/keeper/status.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -51,16 +52,8 @@
 
 // AskStatus asks a keeper how things are.
 func AskStatus(addr string, within time.Duration) (*Status, error) {
-	conn, err := signal.Dial(addr, within)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	if err := conn.Send(&Hello{Status: true}); err != nil {
-		return nil, err
-	}
 	var s Status
-	return &s, conn.Receive(&s)
+	return &s, signal.Query(context.Background(), addr, within, &Hello{Status: true}, &s)
 }
 
 // Print writes a status for people.
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -46,8 +45,7 @@
 type Lighthouse struct {
 	s    *berth.Settings
 	log  zerolog.Logger
-	mail chan func()
-	over chan struct{}
+	loop *shore.Loop
 
 	registry *beacon.Registry
 	pilots   map[*link]bool
@@ -67,15 +65,11 @@
 	inside  net.Listener
 	outside net.Listener
 	ctx     context.Context
-	connsMu sync.Mutex
-	conns   map[*signal.Conn]bool
 }
 
 // link is a connection to a pilot or to another lighthouse.
 type link struct {
-	conn   *signal.Conn
-	out    chan any
-	end    chan struct{} // closed once the connection has ended
+	out    *signal.Outbox
 	node   string
 	life   uint64
 	pushed uint64 // number of the last change
@@ -101,7 +95,7 @@
 
 // Address is where the lighthouse of a machine listens for pilots and for its own kind.
 func Address(ip string, s *berth.Settings) string {
-	return net.JoinHostPort(ip, fmt.Sprint(s.Port(shore.LighthousePort)))
+	return s.At(ip, shore.LighthousePort)
 }
 
 // New opens the ports.
@@ -110,10 +104,10 @@
 		return nil, Start.New("%s: bind.control: is missing; a lighthouse takes the outside calls", s.Path)
 	}
 	l := &Lighthouse{
-		s: s, log: log, mail: make(chan func(), 512), over: make(chan struct{}),
+		s: s, log: log, loop: shore.NewLoop(512),
 		registry: beacon.NewRegistry(beacon.Limits{Dark: darkAfter, Forget: forget}),
 		pilots:   map[*link]bool{}, sisters: map[string]*link{}, core: map[string]*machine{}, changed: map[string]bool{},
-		across: map[string]bool{}, conns: map[*signal.Conn]bool{},
+		across: map[string]bool{},
 	}
 	l.council = newCouncil(l)
 	var err error
@@ -133,21 +127,16 @@
 	defer l.running.Wait()
 	defer stop()
 	l.ctx = inner
-	l.running.Go(l.loop)
-	l.running.Go(l.accept)
+	l.running.Go(func() { l.loop.Run(inner, pulse, l.tick) })
+	l.running.Go(func() { signal.Serve(inner, l.inside, func(raw net.Conn) { l.running.Go(func() { l.serve(raw) }) }) })
 	l.store = newStore(l)
 	l.running.Go(l.store.follow)
-	l.post(l.meetSeeds)
+	l.loop.Post(l.meetSeeds)
 	server := &http.Server{Handler: orders.NewHandler(l.run)}
 	err := orders.Serve(ctx, server, func() error { return server.Serve(l.outside) }, finishTime)
 	l.log.Info().Msg("ending")
 	stop()
 	l.inside.Close()
-	l.connsMu.Lock()
-	for c := range l.conns {
-		c.Close()
-	}
-	l.connsMu.Unlock()
 	if err != nil && ctx.Err() == nil {
 		return Start.Wrap(err, "serve")
 	}
@@ -156,57 +145,12 @@
 
 // Changed takes settings that were read again.
 func (l *Lighthouse) Changed(s *berth.Settings) {
-	l.post(func() { l.s = s; l.meetSeeds() })
-}
-
-func (l *Lighthouse) loop() {
-	defer close(l.over)
-	tick := time.NewTicker(pulse)
-	defer tick.Stop()
-	for {
-		select {
-		case <-l.ctx.Done():
-			return
-		case f := <-l.mail:
-			f()
-		case <-tick.C:
-			l.tick()
-		}
-	}
-}
-
-// post has the loop run f, unless it is over.
-func (l *Lighthouse) post(f func()) {
-	select {
-	case l.mail <- f:
-	case <-l.over:
-	}
-}
-
-// hold remembers a connection, to close it at the end; false once that has come.
-func (l *Lighthouse) hold(c *signal.Conn) bool {
-	l.connsMu.Lock()
-	defer l.connsMu.Unlock()
-	if l.ctx.Err() != nil {
-		c.Close()
-		return false
-	}
-	l.conns[c] = true
-	return true
-}
-
-func (l *Lighthouse) drop(c *signal.Conn) {
-	c.Close()
-	l.connsMu.Lock()
-	defer l.connsMu.Unlock()
-	delete(l.conns, c)
+	l.loop.Post(func() { l.s = s; l.meetSeeds() })
 }
 
 func (l *Lighthouse) meetSeeds() {
-	for _, seed := range l.s.Seeds {
-		if ip, _, err := net.SplitHostPort(seed); err == nil {
-			l.meet(ip, "")
-		}
+	for _, ip := range l.s.SeedIPs() {
+		l.meet(ip, "")
 	}
 }
 
@@ -226,22 +170,21 @@
 // follow holds a connection to another lighthouse: what it says is heard over the one that it holds to this one.
 func (l *Lighthouse) follow(ip string) {
 	for l.ctx.Err() == nil {
-		conn, err := signal.Dial(Address(ip, l.s), silence)
-		if err == nil && l.hold(conn) {
-			k := &link{conn: conn, out: make(chan any, queue), end: make(chan struct{}), node: ip}
+		conn, err := signal.Dial(l.ctx, Address(ip, l.s), silence)
+		if err == nil {
+			k := &link{out: signal.NewOutbox(conn, queue), node: ip}
 			if conn.Send(&lamp.Hello{Lighthouse: l.s.IP, Zone: l.s.Zone}) == nil {
-				l.post(func() {
+				l.loop.Post(func() {
 					l.sisters[ip], l.core[ip].at = k, time.Now()
 					l.say(k, l.wholeAcross())
 				})
-				l.running.Go(func() { l.write(k) })
+				l.running.Go(k.out.Run)
 				var up lamp.Up
 				for conn.Receive(&up) == nil { // only to hear that it is there
 				}
 			}
-			l.drop(conn)
-			close(k.end)
-			l.post(func() {
+			conn.Close()
+			l.loop.Post(func() {
 				if l.sisters[ip] == k {
 					l.sisters[ip] = nil
 				}
@@ -254,63 +197,27 @@
 	}
 }
 
-// write sends what a link is to be told.
-func (l *Lighthouse) write(k *link) {
-	for {
-		select {
-		case <-k.end:
-			return
-		case m := <-k.out:
-			if k.conn.Send(m) != nil {
-				k.conn.Close()
-				return
-			}
-		}
-	}
-}
-
 // say tells a link; one that does not take it is cut off, and comes again.
 func (l *Lighthouse) say(k *link, m any) {
-	select {
-	case k.out <- m:
+	if k.out.Say(m) {
 		k.last = time.Now()
-	default:
-		k.conn.Close()
-	}
-}
-
-func (l *Lighthouse) accept() {
-	for {
-		raw, err := l.inside.Accept()
-		if err != nil {
-			if l.ctx.Err() != nil {
-				return
-			}
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		l.running.Go(func() { l.serve(raw) })
 	}
 }
 
 // serve hears one connection of a pilot or of another lighthouse.
 func (l *Lighthouse) serve(raw net.Conn) {
-	conn, err := signal.New(raw, silence)
-	if err != nil || !l.hold(conn) {
+	conn, err := signal.New(l.ctx, raw, silence)
+	if err != nil {
 		return
 	}
-	defer l.drop(conn)
+	defer conn.Close()
 	var h lamp.Hello
 	if conn.Receive(&h) != nil {
 		return
 	}
 	if h.Status {
-		asked := make(chan *Status, 1)
-		l.post(func() { asked <- l.status() })
-		select {
-		case s := <-asked:
+		if s, ok := shore.Ask(l.loop, l.status); ok {
 			conn.Send(s)
-		case <-l.over:
 		}
 		return
 	}
@@ -318,8 +225,8 @@
 		l.serveSister(conn, h.Lighthouse, h.Zone)
 		return
 	}
-	k := &link{conn: conn, out: make(chan any, queue), end: make(chan struct{}), node: h.Pilot}
-	l.running.Go(func() { l.write(k) })
+	k := &link{out: signal.NewOutbox(conn, queue), node: h.Pilot}
+	l.running.Go(k.out.Run)
 	for {
 		var up lamp.Up
 		if err := conn.Receive(&up); err != nil {
@@ -328,10 +235,9 @@
 			}
 			break
 		}
-		l.post(func() { l.heard(k, &up) })
+		l.loop.Post(func() { l.heard(k, &up) })
 	}
-	close(k.end)
-	l.post(func() {
+	l.loop.Post(func() {
 		delete(l.pilots, k)
 		l.acks(k)
 	})
@@ -339,29 +245,14 @@
 
 // serveSister hears another lighthouse.
 func (l *Lighthouse) serveSister(conn *signal.Conn, ip, zone string) {
-	l.post(func() { l.meet(ip, zone) })
-	alive := time.NewTicker(pulse)
-	defer alive.Stop()
-	done := make(chan struct{})
-	defer close(done)
-	l.running.Go(func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-alive.C:
-				if conn.Send(&lamp.Up{}) != nil {
-					return
-				}
-			}
-		}
-	})
+	l.loop.Post(func() { l.meet(ip, zone) })
+	l.running.Go(func() { conn.Beat(pulse, &lamp.Up{}) })
 	for {
 		var a lamp.Across
 		if conn.Receive(&a) != nil {
 			return
 		}
-		l.post(func() { l.heardAcross(ip, &a) })
+		l.loop.Post(func() { l.heardAcross(ip, &a) })
 	}
 }
 
@@ -423,7 +314,7 @@
 	l.changed[node] = true
 	if !l.pushing {
 		l.pushing = true
-		time.AfterFunc(batch, func() { l.post(l.flush) })
+		time.AfterFunc(batch, func() { l.loop.Post(l.flush) })
 	}
 }
 
@@ -564,7 +455,7 @@
 		return
 	}
 	l.waits = append(l.waits, w)
-	time.AfterFunc(ackWait, func() { l.post(func() { l.endWait(w) }) })
+	time.AfterFunc(ackWait, func() { l.loop.Post(func() { l.endWait(w) }) })
 }
 
 // acks ends the waits that a pilot was the last one for.
@@ -592,7 +483,7 @@
 // run runs a command of an endpoint or an operator.
 func (l *Lighthouse) run(c orders.Command, then func(orders.Result)) {
 	order := func(o keeper.Order) {
-		l.post(func() {
+		l.loop.Post(func() {
 			l.store.order(&o, func(r *keeper.Result) {
 				if r.Status == keeper.Done && o.Kind != keeper.ReadConfig {
 					l.afterPilots(func() { then(resultOf(r)) })
--- a/internal/lighthouse/status.go
+++ b/internal/lighthouse/status.go
@@ -1,6 +1,7 @@
 package lighthouse
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -61,16 +62,8 @@
 
 // AskStatus asks a lighthouse how things are.
 func AskStatus(addr string, within time.Duration) (*Status, error) {
-	conn, err := signal.Dial(addr, within)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	if err := conn.Send(&lamp.Hello{Status: true}); err != nil {
-		return nil, err
-	}
 	var s Status
-	return &s, conn.Receive(&s)
+	return &s, signal.Query(context.Background(), addr, within, &lamp.Hello{Status: true}, &s)
 }
 
 // Print writes a status for people.
--- a/internal/lighthouse/store.go
+++ b/internal/lighthouse/store.go
@@ -29,23 +29,21 @@
 func (s *store) follow() {
 	l := s.l
 	for l.ctx.Err() == nil {
-		conn, err := signal.Dial(keeper.Address(l.s.IP, l.s), silence)
-		if err == nil && l.hold(conn) {
+		conn, err := signal.Dial(l.ctx, keeper.Address(l.s.IP, l.s), silence)
+		if err == nil {
 			if conn.Send(&keeper.Hello{Lighthouse: l.s.Node}) == nil {
-				l.post(func() { s.conn = conn })
-				stop := make(chan struct{})
-				l.running.Go(func() { s.beat(conn, stop) })
+				l.loop.Post(func() { s.conn = conn })
+				l.running.Go(func() { conn.Beat(storeBeat, &keeper.Order{Kind: keeper.Beat}) })
 				for {
 					var w keeper.Word
 					if conn.Receive(&w) != nil {
 						break
 					}
-					l.post(func() { s.heard(&w) })
+					l.loop.Post(func() { s.heard(&w) })
 				}
-				close(stop)
 			}
-			l.drop(conn)
-			l.post(s.lost)
+			conn.Close()
+			l.loop.Post(s.lost)
 		}
 		select {
 		case <-l.ctx.Done():
@@ -54,21 +52,6 @@
 	}
 }
 
-func (s *store) beat(conn *signal.Conn, stop chan struct{}) {
-	tick := time.NewTicker(storeBeat)
-	defer tick.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-tick.C:
-			if conn.Send(&keeper.Order{Kind: keeper.Beat}) != nil {
-				return
-			}
-		}
-	}
-}
-
 // heard takes a word of the keeper.
 func (s *store) heard(w *keeper.Word) {
 	if w.InForce != nil {
@@ -112,7 +95,7 @@
 	s.orders[id] = then
 	s.l.running.Go(func() { conn.Send(o) })
 	time.AfterFunc(orderTime, func() {
-		s.l.post(func() {
+		s.l.loop.Post(func() {
 			if f := s.orders[id]; f != nil {
 				delete(s.orders, id)
 				f(&keeper.Result{Status: keeper.Unclear, Why: "the keeper gave no result in time"})
--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -46,11 +46,6 @@
 	return [...]string{"pass", "wait", "nolife", "otherlife", "leaving", "evacuated", "cold", "full"}[v]
 }
 
-// Lasting tells whether the endpoint is not to be asked again before there is news of it.
-func (v Verdict) Lasting() bool {
-	return v == NoLife || v == OtherLife || v == Leaving || v == Evacuated
-}
-
 // Bounds are what the rules and the settings allow.
 type Bounds struct {
 	Drain        time.Duration // from the notice to the last request that may reach the endpoint
--- a/internal/pilot/explain.go
+++ b/internal/pilot/explain.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 	"time"
 
+	"whinknot/internal/shore"
 	"whinknot/internal/signal"
 	"whinknot/internal/story"
 )
@@ -52,24 +53,13 @@
 	Takes    bool
 }
 
-// answerTalk answers questions of operators, one a connection.
-func (p *Pilot) answerTalk() {
-	for {
-		raw, err := p.talk.Accept()
-		if err != nil {
-			return // closed at the end
-		}
-		p.running.Go(func() { p.answerOne(raw) })
-	}
-}
-
-func (p *Pilot) answerOne(raw net.Conn) {
-	conn, err := signal.New(raw, talkSilence)
+// answerTalk answers on one connection: other pilots, or a question of operators.
+func (p *Pilot) answerTalk(raw net.Conn) {
+	conn, err := signal.New(p.ctx, raw, talkSilence)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	defer context.AfterFunc(p.ctx, conn.Close)()
 	for {
 		var t Talk
 		if conn.Receive(&t) != nil {
@@ -80,14 +70,8 @@
 			p.answer(conn, t.Question)
 			return
 		case t.Gossip != nil:
-			lacks := make(chan *Gossip, 1)
-			p.post(func() { lacks <- p.reply(t.Gossip) })
-			select {
-			case g := <-lacks:
-				if conn.Send(g) != nil {
-					return
-				}
-			case <-p.over:
+			g, ok := shore.Ask(p.loop, func() *Gossip { return p.reply(t.Gossip) })
+			if !ok || conn.Send(g) != nil {
 				return
 			}
 		default:
@@ -98,16 +82,14 @@
 
 // answer answers a question.
 func (p *Pilot) answer(conn *signal.Conn, q *Question) {
-	asked := make(chan *Status, 1)
-	p.post(func() { asked <- p.status() })
-	select {
-	case s := <-asked:
-		if q.Request != "" {
-			s.Story = p.story.Of(q.Request)
-		}
-		conn.Send(s)
-	case <-p.over:
+	s, ok := shore.Ask(p.loop, p.status)
+	if !ok {
+		return
+	}
+	if q.Request != "" {
+		s.Story = p.story.Of(q.Request)
 	}
+	conn.Send(s)
 }
 
 // status tells how things are. It runs in the loop.
@@ -138,16 +120,8 @@
 
 // Ask asks a pilot.
 func Ask(addr string, q Question, within time.Duration) (*Status, error) {
-	conn, err := signal.Dial(addr, within)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	if err := conn.Send(&Talk{Question: &q}); err != nil {
-		return nil, err
-	}
 	var s Status
-	return &s, conn.Receive(&s)
+	return &s, signal.Query(context.Background(), addr, within, &Talk{Question: &q}, &s)
 }
 
 // Print writes a status for people.
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -25,17 +25,16 @@
 	aimPart       = 0.25 // of its aim that a request may wait at a gate without having been offered
 	usualAim      = 500 * time.Millisecond
 	usualTime     = 5 * time.Second
-	moreTries     = 3   // attempts beyond those that may reach an endpoint: gates turn some away
-	coldFrom      = 0.3 // share of its capacity that a cold endpoint is taken to bear at first
+	moreTries     = 3 // attempts beyond those that may reach an endpoint: gates turn some away
 	backPart      = 0.25
 	lateWorth     = 0.3
 	retireTime    = 30 * time.Second
-	sameCold      = time.Second
 	pilotIdle     = 15 * time.Second
 	topWorth      = 4.0
 	leastPatience = 60 * time.Millisecond
 	deadlinePart  = 0.7  // of its route's deadline is what the module takes for a request's aim at least: a late answer earns something too
 	leastRoom     = 5    // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
+	senders       = 1    // copies that the module takes to send: the gates count exactly, and none need keep to its part of a server
 	manyStreams   = 1024 // connections between pilots are opened as they are needed: the gate counts those to endpoints
 )
 
@@ -46,12 +45,10 @@
 
 	mu     sync.Mutex
 	ways   [2]way // for usual requests, and for those with large bodies
-	copies int
-	pilots int
-	rank   int
+	pilots int    // that are there
 	berths []sidecar.Berth
-	nodes  *moorings.Table  // those that somebody may keep to; replaced whole
-	lives  map[string]*life // by name of the life
+	nodes  *moorings.Table // those that somebody may keep to; replaced whole
+	lives  map[string]bool // by name of the life, whether it is beside this pilot
 	ration pier.Ration
 }
 
@@ -82,16 +79,9 @@
 	priority int
 }
 
-// life is one life of an endpoint, as this pilot knows it.
-type life struct {
-	node    string
-	inbound string
-	own     bool // it is beside this pilot
-}
-
 func newFairway(p *Pilot, name string) *fairway {
 	b := &p.s.Bounds
-	return &fairway{p: p, name: name, copies: 1, pilots: 1, lives: map[string]*life{}, nodes: moorings.NewTable(nil), ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
+	return &fairway{p: p, name: name, pilots: 1, lives: map[string]bool{}, nodes: moorings.NewTable(nil), ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
 }
 
 func keyOf(r *chart.Route) classKey {
@@ -130,7 +120,7 @@
 	s := f.p.s
 	zones := f.zones()
 	set := whinknot.Settings{
-		Copies: f.copies, Rank: f.rank, Zone: slices.Index(zones, s.Zone),
+		Copies: senders, Zone: slices.Index(zones, s.Zone),
 		Limits: whinknot.Limits{MaxAttempts: moreTries + 2, RetryAfter: true, Streams: manyStreams, LeastRoom: leastRoom, ConnIdle: float64(pilotIdle.Milliseconds())},
 	}
 	for _, k := range w.classes {
@@ -154,7 +144,7 @@
 		return
 	}
 	w.service = next
-	next.Servers(f.berthsOf(n), f.copies, f.rank)
+	next.Servers(f.berthsOf(n), senders, 0)
 	if old != nil {
 		f.p.running.Go(func() { old.Retire(f.p.ctx, time.Now().Add(retireTime)) })
 	}
@@ -197,28 +187,22 @@
 // list tells the module the endpoints of the service. It runs in the pilot's loop.
 func (f *fairway) list(nodes []lamp.Node) {
 	p := f.p
-	zones := f.zones()
-	lives := map[string]*life{}
+	lives := map[string]bool{}
 	var berths []sidecar.Berth
 	var steady []moorings.Node
-	copies := 0
+	pilots := 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range nodes {
 		n := &nodes[i]
 		if !n.Dark {
-			copies++
+			pilots++
 		}
 		e := n.Endpoint
 		if e == nil || e.Target != f.name || e.State == beacon.Gone {
 			continue
 		}
-		l := f.lives[e.ID]
-		if l == nil {
-			l = &life{}
-		}
-		l.node, l.inbound, l.own = n.Node, n.Inbound, n.Node == p.s.Node
-		lives[e.ID] = l
+		lives[e.ID] = n.Node == p.s.Node
 		b := sidecar.Berth{Name: e.ID, Addr: n.Inbound, Zone: n.Zone}
 		b.Draining = e.State == beacon.Draining || n.Leaving || n.Dark || p.room.Evacuated(n.Zone) || !p.shunned[e.ID].IsZero()
 		if r, ok := p.room.Removal(e.ID); ok && !r.Back {
@@ -230,12 +214,10 @@
 		}
 	}
 	f.lives, f.berths, f.nodes = lives, berths, moorings.NewTable(steady)
-	f.pilots = max(copies, 1)
-	f.copies = 1 // the gate counts exactly: a copy need not keep to its part of a server
-	f.rank = max(slices.Index(zones, p.s.Zone), 0)
+	f.pilots = max(pilots, 1)
 	for n, w := range f.ways {
 		if w.service != nil {
-			w.service.Servers(f.berthsOf(n), f.copies, f.rank)
+			w.service.Servers(f.berthsOf(n), senders, 0)
 		}
 	}
 }
@@ -365,14 +347,13 @@
 	f := t.f
 	t.sent++
 	f.mu.Lock()
-	l := f.lives[x.Server]
-	own := l != nil && l.own
+	own, known := f.lives[x.Server]
 	may := t.arrived == 0
-	if l != nil && t.arrived > 0 && t.arrived < t.r.Tries {
+	if known && t.arrived > 0 && t.arrived < t.r.Tries {
 		may = f.ration.Repeat(time.Now(), f.p.s.Bounds.RetrySlack/float64(f.pilots))
 	}
 	f.mu.Unlock()
-	if l == nil {
+	if !known {
 		return sidecar.Word{Outcome: whinknot.NotSent}
 	}
 	if !may {
@@ -434,7 +415,7 @@
 		if v == pier.Full.String() || v == pier.Cold.String() { // it is at work, not ill
 			return sidecar.Word{Outcome: whinknot.NotSent}
 		}
-		t.f.p.post(func() { t.f.p.shun(life) })
+		t.f.p.loop.Post(func() { t.f.p.shun(life) })
 		return sidecar.Word{Outcome: whinknot.NotSent}
 	}
 	if word == wordNever {
@@ -448,7 +429,7 @@
 		return sidecar.Word{Outcome: whinknot.Reset}
 	case r.Header.Get(notRunHeader) != "" || r.Status == http.StatusMisdirectedRequest:
 		if r.Status == http.StatusMisdirectedRequest {
-			t.f.p.post(func() { t.f.p.shun(life) })
+			t.f.p.loop.Post(func() { t.f.p.shun(life) })
 		}
 		return sidecar.Word{Outcome: whinknot.Full}
 	case r.Status < 300 && (r.Header.Get(sealHeader) == "" || r.Header.Get("Content-Encoding") != ""):
--- a/internal/pilot/gossip.go
+++ b/internal/pilot/gossip.go
@@ -1,11 +1,11 @@
 package pilot
 
 import (
-	"context"
 	"time"
 
 	"whinknot/internal/keeper"
 	"whinknot/internal/lamp"
+	"whinknot/internal/shore"
 	"whinknot/internal/signal"
 	"whinknot/internal/tide"
 	"whinknot/internal/watch"
@@ -114,25 +114,21 @@
 		case <-tick.C:
 		}
 		if conn == nil {
-			c, err := signal.Dial(addr, talkSilence)
+			c, err := signal.Dial(p.ctx, addr, talkSilence)
 			if err != nil {
 				continue
 			}
 			conn = c
-			context.AfterFunc(p.ctx, c.Close)
 		}
-		mine := make(chan *Gossip, 1)
-		p.post(func() { mine <- p.gossip() })
-		var theirs Gossip
-		select {
-		case g := <-mine:
-			if conn.Send(&Talk{Gossip: g}) == nil && conn.Receive(&theirs) == nil {
-				p.post(func() { w.heard(name, &theirs) })
-				continue
-			}
-		case <-p.over:
+		mine, ok := shore.Ask(p.loop, p.gossip)
+		if !ok {
 			return
 		}
+		var theirs Gossip
+		if conn.Send(&Talk{Gossip: mine}) == nil && conn.Receive(&theirs) == nil {
+			p.loop.Post(func() { w.heard(name, &theirs) })
+			continue
+		}
 		conn.Close()
 		conn = nil
 	}
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
 	"time"
 
@@ -17,7 +16,8 @@
 const (
 	linkPulse   = 500 * time.Millisecond
 	linkSilence = 1500 * time.Millisecond
-	linkCount   = 3 // lighthouses that are connected to at once
+	linkQueue   = 64 // words to one lighthouse that it has not taken
+	linkCount   = 3  // lighthouses that are connected to at once
 	retryAfter  = 250 * time.Millisecond
 	wantAfter   = 60 * time.Millisecond // the nearest lighthouse has sent a configuration by then
 	wantAgain   = 300 * time.Millisecond
@@ -35,7 +35,7 @@
 type link struct {
 	ip   string
 	conn *signal.Conn // nil while it is being opened
-	out  chan *lamp.Up
+	out  *signal.Outbox
 	last time.Time
 	ack  uint64
 }
@@ -44,17 +44,13 @@
 	return &links{p: p, s: p.s, known: map[string]string{}, active: map[string]*link{}, failed: map[string]time.Time{}}
 }
 
-func (l *links) meetSeeds() { l.p.post(func() { l.settings(l.s) }) }
+func (l *links) meetSeeds() { l.p.loop.Post(func() { l.settings(l.s) }) }
 
 // settings takes settings that were read again.
 func (l *links) settings(s *berth.Settings) {
 	l.s = s
-	for _, seed := range s.Seeds {
-		if ip, _, err := net.SplitHostPort(seed); err == nil {
-			if _, ok := l.known[ip]; !ok {
-				l.known[ip] = ""
-			}
-		}
+	for _, ip := range s.SeedIPs() {
+		l.known[ip] += "" // a zone that is known stays
 	}
 	l.tick()
 }
@@ -129,42 +125,23 @@
 }
 
 func (l *links) open(ip string) {
-	k := &link{ip: ip, out: make(chan *lamp.Up, 64)}
+	k := &link{ip: ip}
 	l.active[ip] = k
 	p := l.p
 	p.running.Go(func() {
-		conn, err := signal.Dial(lighthouse.Address(ip, l.s), linkSilence)
+		conn, err := signal.Dial(p.ctx, lighthouse.Address(ip, l.s), linkSilence)
 		if err == nil {
+			defer conn.Close()
 			err = conn.Send(&lamp.Hello{Pilot: l.s.Node})
 		}
 		if err != nil {
-			p.post(func() { l.lose(k) })
+			p.loop.Post(func() { l.lose(k) })
 			return
 		}
-		stop := make(chan struct{})
-		p.running.Go(func() {
-			select {
-			case <-stop:
-			case <-p.ctx.Done():
-			}
-			conn.Close()
-		})
-		defer close(stop)
-		p.running.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				case up := <-k.out:
-					if conn.Send(up) != nil {
-						conn.Close()
-						return
-					}
-				}
-			}
-		})
-		p.post(func() {
-			k.conn = conn
+		out := signal.NewOutbox(conn, linkQueue)
+		p.running.Go(out.Run)
+		p.loop.Post(func() {
+			k.conn, k.out = conn, out
 			sheet := p.sheet
 			up := l.up(k)
 			up.Sheet = &sheet
@@ -175,9 +152,9 @@
 			if err = conn.Receive(&d); err != nil {
 				break
 			}
-			p.post(func() { l.hear(k, &d) })
+			p.loop.Post(func() { l.hear(k, &d) })
 		}
-		p.post(func() {
+		p.loop.Post(func() {
 			k.conn = nil
 			l.lose(k)
 		})
@@ -186,11 +163,8 @@
 
 // send sends to a lighthouse; one that does not take it is cut off.
 func (l *links) send(k *link, up *lamp.Up) {
-	select {
-	case k.out <- up:
+	if k.out.Say(up) {
 		k.last = time.Now()
-	default:
-		k.conn.Close()
 	}
 }
 
@@ -234,7 +208,7 @@
 		}
 	}
 	if l.p.room.Lacks(k.ip) {
-		time.AfterFunc(wantAfter, func() { l.p.post(func() { l.want(k) }) })
+		time.AfterFunc(wantAfter, func() { l.p.loop.Post(func() { l.want(k) }) })
 	}
 }
 
@@ -244,7 +218,7 @@
 		up := l.up(k)
 		up.Want = true
 		l.send(k, up)
-		time.AfterFunc(wantAgain, func() { l.p.post(func() { l.want(k) }) })
+		time.AfterFunc(wantAgain, func() { l.p.loop.Post(func() { l.want(k) }) })
 	}
 }
 
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -456,7 +456,7 @@
 	m, from, to := calm(t)
 	m.stopCore()
 	newer := strings.Replace(testConfig, `"r2"`, `"r9"`, 1)
-	from.pilot.post(func() {
+	from.pilot.loop.Post(func() {
 		f := &keeper.InForce{Config: []byte(newer), Version: 9, Evacuations: []keeper.Evacuation{{Zone: "north", Stamp: tide.Stamp{Number: 4, By: "d"}, On: true}}}
 		from.pilot.news(from.pilot.room.Ordered(f))
 	})
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -23,6 +22,7 @@
 	"whinknot/internal/orders"
 	"whinknot/internal/shore"
 	"whinknot/internal/sidecar"
+	"whinknot/internal/signal"
 	"whinknot/internal/story"
 )
 
@@ -50,8 +50,7 @@
 type Pilot struct {
 	s    *berth.Settings
 	log  zerolog.Logger
-	mail chan func()
-	over chan struct{}
+	loop *shore.Loop
 
 	room    *lamp.Chartroom
 	links   *links
@@ -89,14 +88,14 @@
 		return nil, Start.New("%s: bind.inbound, bind.outbound, bind.readiness, bind.control and local_app are needed", s.Path)
 	}
 	p := &Pilot{
-		s: s, log: log, mail: make(chan func(), 512), over: make(chan struct{}), room: lamp.NewChartroom(keepMissing),
+		s: s, log: log, loop: shore.NewLoop(512), room: lamp.NewChartroom(keepMissing),
 		fairway: map[string]*fairway{}, shunned: map[string]time.Time{},
 	}
 	p.view.Store(&view{})
 	p.target.Store(&s.Target)
 	p.sheet = beacon.Sheet{
 		Node: s.Node, Zone: s.Zone, Life: uint64(time.Now().UnixNano()), Number: 1, Inbound: s.Inbound,
-		Talk: net.JoinHostPort(s.IP, fmt.Sprint(s.Port(shore.PilotPort))),
+		Talk: s.At(s.IP, shore.PilotPort),
 	}
 	p.quay = newQuay(p)
 	p.witness = newWitness()
@@ -132,8 +131,8 @@
 	if p.outbound, err = sidecar.NewPort(p.s.Outbound, limits, &harbour{p}); err != nil {
 		return Start.Wrap(err, "listen")
 	}
-	p.running.Go(p.loop)
-	p.running.Go(p.answerTalk)
+	p.running.Go(func() { p.loop.Run(inner, lookEvery, p.tick) })
+	p.running.Go(func() { signal.Serve(inner, p.talk, func(raw net.Conn) { p.running.Go(func() { p.answerTalk(raw) }) }) })
 	defer p.talk.Close()
 	p.links.meetSeeds()
 	calls := &http.Server{Handler: orders.NewHandler(p.run)}
@@ -167,7 +166,7 @@
 	accept := min(acceptTime, time.Duration(acceptPart*float64(grace)))
 	last := grace - endBefore
 	say := time.AfterFunc(max(accept-sayBefore, 0), func() {
-		p.post(func() {
+		p.loop.Post(func() {
 			p.sheet.Leaving = true
 			p.say()
 		})
@@ -179,9 +178,8 @@
 	both.Go(func() { p.inbound.Drain(accept, last) })
 	both.Wait()
 	var services sync.WaitGroup
-	known := make(chan []*fairway, 1)
-	p.post(func() { known <- slices.Collect(maps.Values(p.fairway)) })
-	for _, f := range <-known {
+	known, _ := shore.Ask(p.loop, func() []*fairway { return slices.Collect(maps.Values(p.fairway)) })
+	for _, f := range known {
 		services.Go(f.end)
 	}
 	services.Wait()
@@ -191,36 +189,12 @@
 // Changed takes settings that were read again.
 func (p *Pilot) Changed(s *berth.Settings) {
 	p.target.Store(&s.Target)
-	p.post(func() { p.links.settings(s) })
+	p.loop.Post(func() { p.links.settings(s) })
 }
 
 // service is the name of the service that runs on this machine, by the settings as they were last read.
 func (p *Pilot) service() string { return *p.target.Load() }
 
-func (p *Pilot) loop() {
-	defer close(p.over)
-	tick := time.NewTicker(lookEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-p.ctx.Done():
-			return
-		case f := <-p.mail:
-			f()
-		case <-tick.C:
-			p.tick()
-		}
-	}
-}
-
-// post has the loop run f, unless it is over.
-func (p *Pilot) post(f func()) {
-	select {
-	case p.mail <- f:
-	case <-p.over:
-	}
-}
-
 // tick does what is due by age.
 func (p *Pilot) tick() {
 	now := time.Now()
@@ -314,9 +288,9 @@
 		}
 		then(orders.Result{Status: status})
 	case orders.Heartbeat:
-		p.post(func() { p.quay.beat(&c); then(orders.Result{Status: http.StatusOK, Body: []byte("{}"), JSON: true}) })
+		p.loop.Post(func() { p.quay.beat(&c); then(orders.Result{Status: http.StatusOK, Body: []byte("{}"), JSON: true}) })
 	case orders.Deregister:
-		p.post(func() { p.quay.gone(c.ID); then(orders.Result{Status: http.StatusOK, Body: []byte("{}"), JSON: true}) })
+		p.loop.Post(func() { p.quay.gone(c.ID); then(orders.Result{Status: http.StatusOK, Body: []byte("{}"), JSON: true}) })
 	default:
 		then(orders.Result{Status: http.StatusNotFound, Body: []byte("the core machines take this call\n")})
 	}
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -262,7 +262,7 @@
 			return []byte("GET " + path + " HTTP/1.1\r\nHost: " + q.p.s.LocalApp + "\r\n")
 		}
 		fate, r := q.wharf.Cross(q.p.ctx, &sidecar.Hop{Head: head, Bare: true, Most: 64 << 10}, time.Now().Add(probeTime))
-		q.p.post(func() { q.health(fate, r) })
+		q.p.loop.Post(func() { q.health(fate, r) })
 	})
 }
 
--- a/internal/shore/commands.go
+++ b/internal/shore/commands.go
@@ -5,30 +5,60 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
 	"github.com/rs/zerolog"
 
 	"whinknot/internal/berth"
 	"whinknot/internal/chart"
 )
 
-// Main runs a process until ctx ends.
-type Main func(ctx context.Context, s *berth.Settings, log zerolog.Logger) error
+// Process is a process of the mesh.
+type Process interface {
+	Run(ctx context.Context) error // until ctx ends
+	Changed(s *berth.Settings)     // takes settings that were read again
+}
+
+// Execute runs a program of the mesh with arguments and gives its exit code. Begin makes its process; more are commands beside
+// those that all programs have.
+func Execute[P Process](program string, args []string, begin func(*berth.Settings, zerolog.Logger) (P, error), more ...*ff.Command) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	root := commands(program, func(s *berth.Settings, log zerolog.Logger) error {
+		p, err := begin(s, log)
+		if err != nil {
+			return err
+		}
+		go follow(ctx, s, log, p.Changed)
+		return p.Run(ctx)
+	})
+	root.Subcommands = append(root.Subcommands, more...)
+	if err := root.ParseAndRun(ctx, args); err != nil {
+		if !errors.Is(err, ff.ErrHelp) {
+			fmt.Fprintln(os.Stderr, program+":", err)
+			return 1
+		}
+		fmt.Fprintln(os.Stderr, ffhelp.Command(root.GetSelected()))
+	}
+	return 0
+}
 
-// Commands is the command line that all programs of the mesh have: run, and check of a file.
-func Commands(program string, run Main) *ff.Command {
+// commands is the command line that all programs of the mesh have: run, and check of a file.
+func commands(program string, run func(*berth.Settings, zerolog.Logger) error) *ff.Command {
 	root := &ff.Command{Name: program, Usage: program + " SUBCOMMAND ...", ShortHelp: "a program of the mesh", Exec: func(context.Context, []string) error { return ff.ErrHelp }}
 	root.Subcommands = []*ff.Command{
 		{
 			Name: "run", Usage: program + " run", ShortHelp: "run by the settings that " + berth.Variable + " names",
-			Exec: func(ctx context.Context, _ []string) error {
+			Exec: func(context.Context, []string) error {
 				s, err := berth.Load()
 				if err != nil {
 					return err
 				}
 				tune(s)
-				return run(ctx, s, Log(os.Stderr, program, s.Node))
+				return run(s, newLog(os.Stderr, program, s.Node))
 			},
 		},
 		{
--- a/internal/shore/shore.go
+++ b/internal/shore/shore.go
@@ -26,8 +26,8 @@
 
 const lookEvery = 500 * time.Millisecond
 
-// Log makes a log of one line of key=value pairs an event.
-func Log(to io.Writer, program, node string) zerolog.Logger {
+// newLog makes a log of one line of key=value pairs an event.
+func newLog(to io.Writer, program, node string) zerolog.Logger {
 	plain := func(i any) string {
 		if text, ok := i.([]byte); ok { // zerolog hands truths and lists over as their text
 			return string(text)
@@ -53,14 +53,9 @@
 	return s
 }
 
-// UntilTold gives a context that ends with SIGTERM or SIGINT.
-func UntilTold() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-}
-
-// Follow reads the settings again at SIGHUP and when the file has changed, until ctx ends. What cannot be used is told
+// follow reads the settings again at SIGHUP and when the file has changed, until ctx ends. What cannot be used is told
 // and changes nothing.
-func Follow(ctx context.Context, s *berth.Settings, log zerolog.Logger, changed func(*berth.Settings)) {
+func follow(ctx context.Context, s *berth.Settings, log zerolog.Logger, changed func(*berth.Settings)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/gob"
 	"io"
@@ -28,11 +29,15 @@
 	magic     = "milletmast 1\n" // both ends say it first: the version of this wire
 	writeTime = 2 * time.Second
 	dialTime  = 500 * time.Millisecond
+
+	acceptPause = 10 * time.Millisecond
 )
 
 // Conn is a held connection. Send may be called from many goroutines, Receive from one.
 type Conn struct {
 	raw     net.Conn
+	ended   context.Context // once it is closed
+	end     context.CancelFunc
 	in      bytes.Buffer
 	dec     *gob.Decoder
 	silence time.Duration // a peer that says nothing for so long is gone
@@ -42,35 +47,65 @@
 	enc *gob.Encoder
 }
 
-// New makes one of a connection; both ends must.
-func New(raw net.Conn, silence time.Duration) (*Conn, error) {
+// New makes one of a connection; both ends must. It is closed when ctx ends.
+func New(ctx context.Context, raw net.Conn, silence time.Duration) (*Conn, error) {
 	c := &Conn{raw: raw, silence: silence}
+	c.ended, c.end = context.WithCancel(ctx)
+	context.AfterFunc(c.ended, func() { raw.Close() })
 	c.dec, c.enc = gob.NewDecoder(&c.in), gob.NewEncoder(&c.out)
 	raw.SetDeadline(time.Now().Add(silence))
 	if _, err := io.WriteString(raw, magic); err != nil {
-		raw.Close()
+		c.Close()
 		return nil, Broken.Wrap(err, "greeting")
 	}
 	said := make([]byte, len(magic))
 	if _, err := io.ReadFull(raw, said); err != nil {
-		raw.Close()
+		c.Close()
 		return nil, Broken.Wrap(err, "greeting")
 	}
 	if string(said) != magic {
-		raw.Close()
+		c.Close()
 		return nil, Foreign.New("the peer speaks another wire: %q", said)
 	}
 	raw.SetDeadline(time.Time{})
 	return c, nil
 }
 
-// Dial connects to a peer.
-func Dial(addr string, silence time.Duration) (*Conn, error) {
-	raw, err := (&net.Dialer{Timeout: min(dialTime, silence), KeepAlive: -1}).Dial("tcp", addr)
+// Dial connects to a peer. The connection is closed when ctx ends.
+func Dial(ctx context.Context, addr string, silence time.Duration) (*Conn, error) {
+	raw, err := (&net.Dialer{Timeout: min(dialTime, silence), KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, Broken.Wrap(err, "dial")
 	}
-	return New(raw, silence)
+	return New(ctx, raw, silence)
+}
+
+// Query asks a peer one thing, over a connection of its own.
+func Query(ctx context.Context, addr string, within time.Duration, question, answer any) error {
+	c, err := Dial(ctx, addr, within)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := c.Send(question); err != nil {
+		return err
+	}
+	return c.Receive(answer)
+}
+
+// Serve has each connection that a listener takes served, until ctx ends; the listener is to be closed then.
+func Serve(ctx context.Context, ln net.Listener, serve func(net.Conn)) {
+	for ctx.Err() == nil {
+		raw, err := ln.Accept()
+		if err == nil {
+			serve(raw)
+			continue
+		}
+		select { // no descriptor is left, perhaps
+		case <-ctx.Done():
+		case <-time.After(acceptPause):
+		}
+	}
 }
 
 // Send sends a message; the receiver must expect its type.
@@ -80,18 +115,18 @@
 	c.out.Reset()
 	c.out.Write([]byte{0, 0, 0, 0})
 	if err := c.enc.Encode(message); err != nil {
-		c.raw.Close()
+		c.Close()
 		return Foreign.Wrap(err, "encode")
 	}
 	frame := c.out.Bytes()
 	if len(frame)-4 > maxFrame {
-		c.raw.Close()
+		c.Close()
 		return Foreign.New("a message of %d bytes is more than %d", len(frame), maxFrame)
 	}
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
 	c.raw.SetWriteDeadline(time.Now().Add(min(writeTime, c.silence)))
 	if _, err := c.raw.Write(frame); err != nil {
-		c.raw.Close()
+		c.Close()
 		return Broken.Wrap(err, "send")
 	}
 	return nil
@@ -121,4 +156,57 @@
 func (c *Conn) Peer() string { return c.raw.RemoteAddr().String() }
 
 // Close ends the connection; Receive and Send return then.
-func (c *Conn) Close() { c.raw.Close() }
+func (c *Conn) Close() {
+	c.end()
+	c.raw.Close()
+}
+
+// Beat sends a message every so often until the connection is closed, so that the peer hears that this end is there.
+func (c *Conn) Beat(every time.Duration, message any) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-c.ended.Done():
+			return
+		case <-tick.C:
+			if c.Send(message) != nil {
+				return
+			}
+		}
+	}
+}
+
+// Outbox sends messages over a connection one after the other, so that who says them never waits.
+type Outbox struct {
+	conn *Conn
+	mail chan any
+}
+
+// NewOutbox makes one that holds so many messages that are not sent yet.
+func NewOutbox(c *Conn, room int) *Outbox { return &Outbox{c, make(chan any, room)} }
+
+// Say has a message sent. A peer that does not take what it is told is cut off: the connection is closed, and false is given.
+func (o *Outbox) Say(message any) bool {
+	select {
+	case o.mail <- message:
+		return true
+	default:
+		o.conn.Close()
+		return false
+	}
+}
+
+// Run sends until the connection is closed.
+func (o *Outbox) Run() {
+	for {
+		select {
+		case <-o.conn.ended.Done():
+			return
+		case m := <-o.mail:
+			if o.conn.Send(m) != nil {
+				return
+			}
+		}
+	}
+}
--- a/internal/signal/signal_test.go
+++ b/internal/signal/signal_test.go
@@ -39,10 +39,10 @@
 	a, b := pair(t)
 	ends := make(chan *Conn, 1)
 	go func() {
-		c, _ := New(b, 5*time.Second)
+		c, _ := New(t.Context(), b, 5*time.Second)
 		ends <- c
 	}()
-	left, err := New(a, 5*time.Second)
+	left, err := New(t.Context(), a, 5*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +74,7 @@
 		if _, err := io.WriteString(b, c.bytes); err != nil {
 			t.Fatal(err)
 		}
-		conn, err := New(a, 5*time.Second)
+		conn, err := New(t.Context(), a, 5*time.Second)
 		if err == nil {
 			var m message
 			err = conn.Receive(&m)
@@ -87,12 +87,33 @@
 	}
 }
 
+// One that does not take what it is told is cut off, and an outbox ends with its connection.
+func TestAnOutboxEndsWithItsConnection(t *testing.T) {
+	a, b := pair(t)
+	if _, err := io.WriteString(b, magic); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := New(t.Context(), a, 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := NewOutbox(conn, 1)
+	if !o.Say(&message{}) || o.Say(&message{}) {
+		t.Error("a message is refused with room, or taken without")
+	}
+	o.Run() // returns, as the connection is closed
+	var m message
+	if err := conn.Receive(&m); !errorx.IsOfType(err, Broken) {
+		t.Errorf("of a closed connection: %v", err)
+	}
+}
+
 func TestASilentPeerIsGone(t *testing.T) {
 	a, b := pair(t)
 	if _, err := io.WriteString(b, magic); err != nil {
 		t.Fatal(err)
 	}
-	conn, err := New(a, 30*time.Millisecond)
+	conn, err := New(t.Context(), a, 30*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
 	}
