Keep hosts that do no worse than their service; let cold gates choose who goes next

And cold gates turned requests away at once, the first come of each second served, whatever it was worth.

Change: a life leaves only if its calls fail three times as often as those of others of its service, which pilots are asked about too; a request whose sender knows of no warm endpoint waits at a cold gate, by rank, what may run once before what may be repeated.

--- a/internal/lighthouse/council.go
+++ b/internal/lighthouse/council.go
@@ -86,11 +86,7 @@
 	for _, v := range c.votes {
 		votes = append(votes, v)
 	}
-	var lives []string
-	for _, k := range muster.Cases(c.bounds, now, hosts, votes) {
-		lives = append(lives, k.Life)
-	}
-	c.ask(lives)
+	c.ask(muster.Asked(c.bounds, hosts, muster.Cases(c.bounds, now, hosts, votes)))
 	if f == nil || !f.Settled || c.under {
 		return
 	}
--- a/internal/muster/muster.go
+++ b/internal/muster/muster.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"whinknot/internal/spread"
 )
 
 // Kind says how a call at a life ended, as far as it tells of the life.
@@ -35,6 +37,8 @@
 	Least    int           // calls without which a pilot has no opinion
 	LeastBad int           // bad ones without which it finds nothing wrong
 	BadPart  float64       // of its calls that are bad where a life is unwell
+	Worse    float64       // a life's part of bad calls against that of others of its service, at least: what fails for all has another cause
+	Peers    int           // others that it is compared with
 	Voters   int           // pilots with an opinion without which nothing is decided
 	Share    float64       // of a service that may be removed at most
 	Away     time.Duration // from a removal until the life is tried again
@@ -44,7 +48,7 @@
 // Usual are the bounds where nothing else is told.
 func Usual() Bounds {
 	return Bounds{
-		Window: 4 * time.Second, Least: 4, LeastBad: 2, BadPart: 0.25, Voters: 3, Share: 0.34,
+		Window: 4 * time.Second, Least: 4, LeastBad: 2, BadPart: 0.25, Worse: 3, Peers: 4, Voters: 3, Share: 0.34,
 		Away: 8 * time.Second, AwayMost: time.Minute,
 	}
 }
@@ -150,11 +154,15 @@
 	Gate         bool // the gate beside it is for it
 	Zones        int  // of those that are for it
 	Of           int  // zones of all that have an opinion
+	Calls, Bad   int  // of all callers
+	OthersCalls  int  // at the others of its service that callers spoke of
+	OthersBad    int
 }
 
 // Cases are the lives that some pilot finds unwell.
 func Cases(b Bounds, now time.Time, hosts []Host, votes []Vote) []Case {
 	var out []Case
+	calls, bad := map[string]int{}, map[string]int{} // by service
 	for _, h := range hosts {
 		c := Case{Host: h}
 		zones, all := map[string]bool{}, map[string]bool{}
@@ -171,6 +179,8 @@
 					c.Gate = b.Unwell(o)
 				} else {
 					all[v.Zone] = true
+					c.Calls += o.Calls
+					c.Bad += o.Bad
 				}
 				if b.Unwell(o) {
 					c.For++
@@ -182,18 +192,52 @@
 				}
 			}
 		}
+		calls[h.Service] += c.Calls
+		bad[h.Service] += c.Bad
 		if c.Zones, c.Of = len(zones), len(all); c.For > 0 {
 			out = append(out, c)
 		}
 	}
+	for i := range out {
+		c := &out[i]
+		c.OthersCalls, c.OthersBad = calls[c.Service]-c.Calls, bad[c.Service]-c.Bad
+	}
+	return out
+}
+
+// Asked are the lives that pilots are to be asked about: those of the cases, and for each service a few more to compare with.
+func Asked(b Bounds, hosts []Host, cases []Case) []string {
+	var out []string
+	services := map[string]int{}
+	for _, c := range cases {
+		out = append(out, c.Life)
+		services[c.Service] = 0
+	}
+	spreadOut := slices.SortedFunc(slices.Values(hosts), func(a, b Host) int { return cmp.Compare(spread.Name(a.Life), spread.Name(b.Life)) })
+	for _, h := range spreadOut {
+		if n, ok := services[h.Service]; ok && h.Serving && n < b.Peers && !slices.Contains(out, h.Life) {
+			services[h.Service]++
+			out = append(out, h.Life)
+		}
+	}
+	slices.Sort(out)
 	return out
 }
 
+// worse tells whether a life does worse than the others of its service: by their calls, of which there must be some.
+func (b *Bounds) worse(c *Case) bool {
+	if c.OthersCalls < b.Least {
+		return false
+	}
+	return float64(c.Bad*c.OthersCalls) >= b.Worse*float64(c.OthersBad*c.Calls)
+}
+
 // Agreed tells whether the votes on a life are enough to remove it: by a majority, and either of enough pilots from more than
 // one zone, as one zone's link must not empty a host that serves the others, or of the gate beside it and another, which is
-// the rule for hosts with few callers: what the gate sees is no link's doing.
+// the rule for hosts with few callers: what the gate sees is no link's doing. A life that does no worse than the others of its
+// service stays: their calls fail for another cause, as what stands behind them all, or more work than all can do.
 func (b *Bounds) Agreed(c *Case) bool {
-	if 2*c.For <= c.For+c.Against {
+	if 2*c.For <= c.For+c.Against || !b.worse(c) {
 		return false
 	}
 	return c.Gate && c.For > 1 || c.For+c.Against >= b.Voters && c.Zones > 1
--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -67,6 +67,8 @@
 type Ask struct {
 	Life     string // it is for this life
 	Priority int    // the lower goes first among those that wait
+	Once     bool   // it may run once only: at a cold endpoint it goes before those of its priority that may be repeated
+	Stays    bool   // it waits at a cold endpoint too: its sender knows of no warm one
 	Until    time.Time
 }
 
@@ -74,9 +76,18 @@
 type Ticket struct {
 	Ask
 	order  uint64
+	first  bool // before others of its priority
 	inside bool
 }
 
+// early is over 0 for a ticket that goes before others of its priority.
+func (t *Ticket) early() int {
+	if t.first {
+		return 1
+	}
+	return 0
+}
+
 // Gate is the gate of one endpoint. It is not safe for concurrent use.
 type Gate struct {
 	bounds    Bounds
@@ -204,6 +215,15 @@
 	return max(int(share), 1)
 }
 
+// coldAt is when a cold endpoint may get one more; a time that is not after now says at once.
+func (g *Gate) coldAt(now time.Time) (at time.Time) {
+	g.recent(now)
+	if n, most := len(g.arrivals), g.coldShare(now); n >= most {
+		at = g.arrivals[n-most].Add(second + 1)
+	}
+	return at
+}
+
 // slots is how many requests may be inside at once.
 func (g *Gate) slots() int {
 	n := max(g.capacity, fewSlots)
@@ -218,11 +238,8 @@
 	if g.inside >= g.slots() {
 		return Full
 	}
-	if g.cold(now) {
-		g.recent(now)
-		if len(g.arrivals) >= g.coldShare(now) {
-			return Cold
-		}
+	if g.cold(now) && g.coldAt(now).After(now) {
+		return Cold
 	}
 	return Pass
 }
@@ -257,13 +274,13 @@
 		g.let(now, t)
 		return t, Pass
 	}
-	if v == Cold || len(g.waiting) >= g.slots() || !now.Before(a.Until) {
+	if v == Cold && !a.Stays || len(g.waiting) >= g.slots() || !now.Before(a.Until) {
 		return nil, cmp.Or(v, Full)
 	}
 	g.last++
-	t.order = g.last
+	t.order, t.first = g.last, a.Once && g.cold(now)
 	at, _ := slices.BinarySearchFunc(g.waiting, t, func(a, b *Ticket) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.order, b.order))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.early(), a.early()), cmp.Compare(a.order, b.order))
 	})
 	g.waiting = slices.Insert(g.waiting, at, t)
 	return t, Wait
@@ -281,6 +298,14 @@
 	}
 }
 
+// sooner is the earlier of two times; a zero one is none.
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Decided is what became of a ticket that waited.
 type Decided struct {
 	Ticket  *Ticket
@@ -293,17 +318,19 @@
 	for _, t := range g.waiting {
 		if v := g.closed(now, t.Life); v != Pass {
 			out = append(out, Decided{t, v})
-		} else if !now.Before(t.Until) {
-			out = append(out, Decided{t, Full})
-		} else if v := g.room(now); v == Pass {
+			continue
+		}
+		v := g.room(now)
+		if !now.Before(t.Until) || v == Cold && !t.Stays {
+			out = append(out, Decided{t, cmp.Or(v, Full)})
+		} else if v == Pass {
 			g.let(now, t)
 			out = append(out, Decided{t, Pass})
-		} else if v == Cold {
-			out = append(out, Decided{t, Cold})
 		} else {
 			keep = append(keep, t)
-			if at.IsZero() || t.Until.Before(at) {
-				at = t.Until
+			at = sooner(at, t.Until)
+			if v == Cold {
+				at = sooner(at, g.coldAt(now))
 			}
 		}
 	}
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -49,6 +49,7 @@
 	berths []sidecar.Berth
 	nodes  *moorings.Table // those that somebody may keep to; replaced whole
 	lives  map[string]bool // by name of the life, whether it is beside this pilot
+	warmAt time.Time       // the first endpoint that takes requests is warm then; zero if there is none
 	ration pier.Ration
 }
 
@@ -191,6 +192,7 @@
 	var berths []sidecar.Berth
 	var steady []moorings.Node
 	pilots := 0
+	var warmAt time.Time
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range nodes {
@@ -211,10 +213,13 @@
 		berths = append(berths, b)
 		if !b.Draining {
 			steady = append(steady, moorings.Node{Name: e.ID, Weight: e.Capacity})
+			if at := n.Since.Add(e.Cold); warmAt.IsZero() || at.Before(warmAt) {
+				warmAt = at
+			}
 		}
 	}
 	f.lives, f.berths, f.nodes = lives, berths, moorings.NewTable(steady)
-	f.pilots = max(pilots, 1)
+	f.pilots, f.warmAt = max(pilots, 1), warmAt
 	for n, w := range f.ways {
 		if w.service != nil {
 			w.service.Servers(f.berthsOf(n), senders, 0)
@@ -348,6 +353,7 @@
 	t.sent++
 	f.mu.Lock()
 	own, known := f.lives[x.Server]
+	stays := time.Now().Before(f.warmAt)
 	may := t.arrived == 0
 	if known && t.arrived > 0 && t.arrived < t.r.Tries {
 		may = f.ration.Repeat(time.Now(), f.p.s.Bounds.RetrySlack/float64(f.pilots))
@@ -363,7 +369,7 @@
 	var got *sidecar.Reply
 	if own {
 		word, got = f.p.quay.take(x.Ctx, &passenger{
-			life: x.Server, rank: t.r.Priority, until: x.Until, patience: t.patience, id: t.e.Header.Get(idHeader), body: t.e.Body,
+			life: x.Server, rank: t.r.Priority, once: t.r.Kind != chart.Safe, stays: stays, until: x.Until, patience: t.patience, id: t.e.Header.Get(idHeader), body: t.e.Body,
 			bare: t.e.Method == http.MethodGet, head: func(b *bytes.Buffer) { t.head(b, x.Server) },
 		})
 	} else {
@@ -375,6 +381,12 @@
 				sidecar.WriteLine(&b, deadlineHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 				sidecar.WriteLine(&b, patienceHeader, strconv.FormatInt(max(t.patience.Milliseconds(), 1), 10))
 				sidecar.WriteLine(&b, rankHeader, strconv.Itoa(t.r.Priority))
+				if t.r.Kind != chart.Safe {
+					sidecar.WriteLine(&b, onceHeader, "1")
+				}
+				if stays {
+					sidecar.WriteLine(&b, staysHeader, "1")
+				}
 				return b.Bytes()
 			},
 		})
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -23,6 +23,8 @@
 	wordHeader     = "Pilot-Word"
 	patienceHeader = "Pilot-Patience" // ms that a request may wait at the gate
 	rankHeader     = "Pilot-Rank"
+	onceHeader     = "Pilot-Once"  // it may run once only
+	staysHeader    = "Pilot-Stays" // it waits at a cold endpoint too
 	ownPrefix      = "Pilot-"
 
 	idHeader       = "X-Attempt-Id"
@@ -331,11 +333,11 @@
 	}
 	patience, _, _ := sidecar.Deadline(h, patienceHeader)
 	rank, _ := strconv.Atoi(h.Get(rankHeader))
-	life := h.Get(targetHeader)
+	life, once, stays := h.Get(targetHeader), h.Get(onceHeader) != "", h.Get(staysHeader) != ""
 	h.Del(deadlineHeader)
 	stripOwn(h)
 	word, r := q.take(ctx, &passenger{
-		life: life, rank: rank, until: e.Came.Add(left - localLatency), patience: patience, id: h.Get(idHeader), body: e.Body, bare: e.Method == http.MethodGet,
+		life: life, rank: rank, once: once, stays: stays, until: e.Came.Add(left - localLatency), patience: patience, id: h.Get(idHeader), body: e.Body, bare: e.Method == http.MethodGet,
 		head: func(b *bytes.Buffer) {
 			b.WriteString(e.Method + " " + e.URI + " HTTP/1.1\r\nHost: " + e.Host + "\r\n")
 			sidecar.WriteLines(b, h)
@@ -365,6 +367,8 @@
 type passenger struct {
 	life     string
 	rank     int
+	once     bool
+	stays    bool
 	until    time.Time
 	patience time.Duration
 	id       string
@@ -393,7 +397,7 @@
 		wait = p.until
 	}
 	q.mu.Lock()
-	t, v := q.gate.Ask(now, pier.Ask{Life: p.life, Priority: p.rank, Until: wait})
+	t, v := q.gate.Ask(now, pier.Ask{Life: p.life, Priority: p.rank, Once: p.once, Stays: p.stays, Until: wait})
 	var verdict chan pier.Verdict
 	if v == pier.Wait {
 		verdict = make(chan pier.Verdict, 1)
