Hold no failure against an endpoint whose own calls failed meanwhile

Change: an answer of 500 and more, given while a request that began on the endpoint's machine failed, tells nothing of the endpoint.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -257,9 +257,17 @@
 	if r == nil {
 		return sidecar.Reply{Status: http.StatusNotFound, Body: []byte("no route\n")}
 	}
-	return v.services[r.Pick(rand.Float64())].serve(ctx, e, r)
+	reply := v.services[r.Pick(rand.Float64())].serve(ctx, e, r)
+	if reply.Status >= http.StatusInternalServerError {
+		h.p.failed.Store(time.Now().UnixNano())
+	}
+	return reply
 }
 
+// failedSince tells whether a request that began on this machine has failed since a time: where the endpoint answered with a failure
+// meanwhile, that may be a call of its own, and its failure no fault of its own.
+func (p *Pilot) failedSince(at time.Time) bool { return p.failed.Load() >= at.UnixNano() }
+
 // serve has one request served.
 func (f *fairway) serve(ctx context.Context, e *sidecar.Errand, r *chart.Route) sidecar.Reply {
 	now := time.Now()
@@ -299,7 +307,7 @@
 	if reply.Header == nil {
 		reply.Header = http.Header{}
 	}
-	reply.Header.Del(wordHeader)
+	stripOwn(reply.Header)
 	if reply.RetryAfter > 0 {
 		reply.RetryAfter = min(reply.RetryAfter, time.Duration(backPart*float64(time.Until(due))))
 		reply.RetryAfter = max(reply.RetryAfter, time.Millisecond).Round(time.Millisecond)
@@ -412,7 +420,11 @@
 // tell has the witness note what an attempt that reached an endpoint tells of that.
 func (t *trip) tell(w sidecar.Word, life string) {
 	switch w.Outcome {
-	case whinknot.OK, whinknot.Cancelled:
+	case whinknot.Cancelled:
+		if w.Reply != nil && !w.Own {
+			t.f.p.witness.saw(t.f.name, life, muster.Good)
+		}
+	case whinknot.OK:
 		t.f.p.witness.saw(t.f.name, life, muster.Good)
 	case whinknot.Error, whinknot.Reset:
 		t.f.p.witness.saw(t.f.name, life, muster.Failed)
@@ -453,5 +465,8 @@
 	case r.Status < 500:
 		return sidecar.Word{Outcome: whinknot.Cancelled, Reply: r}
 	}
+	if r.Header.Get(behindHeader) != "" { // it tells nothing of the endpoint
+		return sidecar.Word{Outcome: whinknot.Cancelled, Reply: r, Own: true}
+	}
 	return sidecar.Word{Outcome: whinknot.Error, Reply: r, Own: true}
 }
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -67,6 +67,7 @@
 	bulk    bulk
 	target  atomic.Pointer[string]
 	leaving atomic.Bool
+	failed  atomic.Int64 // a request that began on this machine failed last, ns since 1970
 
 	running   sync.WaitGroup
 	inbound   *sidecar.Port
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -23,8 +23,9 @@
 	wordHeader     = "Pilot-Word"
 	patienceHeader = "Pilot-Patience" // ms that a request may wait at the gate
 	rankHeader     = "Pilot-Rank"
-	onceHeader     = "Pilot-Once"  // it may run once only
-	staysHeader    = "Pilot-Stays" // it waits at a cold endpoint too
+	onceHeader     = "Pilot-Once"   // it may run once only
+	staysHeader    = "Pilot-Stays"  // it waits at a cold endpoint too
+	behindHeader   = "Pilot-Behind" // of an answer: a call of the endpoint's own may be what failed
 	ownPrefix      = "Pilot-"
 
 	idHeader       = "X-Attempt-Id"
@@ -380,7 +381,7 @@
 // inside is what a call that was let in tells of the endpoint.
 func inside(fate sidecar.Fate, r *sidecar.Reply) (k muster.Kind, tells bool) {
 	switch {
-	case fate == sidecar.CalledOff:
+	case fate == sidecar.CalledOff, fate == sidecar.Whole && r.Header.Get(behindHeader) != "":
 		return 0, false
 	case fate != sidecar.Whole || r.Status >= 500 && r.Header.Get(notRunHeader) == "" || r.Status < 300 && r.Header.Get(sealHeader) == "":
 		return muster.Failed, true
@@ -421,6 +422,7 @@
 		q.p.note(p.id, "event=turned life="+p.life+" why="+v.String())
 		return wordTurned + v.String(), nil
 	}
+	begun := time.Now()
 	fate, r := q.wharf.Cross(ctx, &sidecar.Hop{
 		Body: p.body, Bare: p.bare, ID: p.id, Most: mostBody,
 		Head: func(left time.Duration) []byte {
@@ -443,13 +445,18 @@
 	if suspect {
 		q.ask()
 	}
+	if fate == sidecar.Whole {
+		stripOwn(r.Header)
+		if r.Status >= http.StatusInternalServerError && q.p.failedSince(begun) {
+			r.Header.Set(behindHeader, "1")
+		}
+	}
 	q.p.note(p.id, "event=crossed life="+p.life+" fate="+strconv.Itoa(int(fate)))
 	if kind, tells := inside(fate, r); tells {
 		q.p.witness.sawInside(target, p.life, kind)
 	}
 	switch fate {
 	case sidecar.Whole:
-		stripOwn(r.Header)
 		return wordAnswer, r
 	case sidecar.NeverWritten:
 		return wordNever, nil
