Show a request to three endpoints of its own zone before it waits at one

Change: at all but the last of three endpoints of the own zone a request does not wait; uploads wait as before, as their bodies would go twice.

Small sites have one endpoint a zone and service and are as before.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -34,6 +34,7 @@
 	leastPatience = 60 * time.Millisecond
 	deadlinePart  = 0.7  // of its route's deadline is what the module takes for a request's aim at least: a late answer earns something too
 	leastRoom     = 5    // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
+	nearLooks     = 3    // endpoints of the own zone that a request is shown to: at all but the last it does not wait, one may be free
 	senders       = 1    // copies that the module takes to send: the gates count exactly, and none need keep to its part of a server
 	manyStreams   = 1024 // connections between pilots are opened as they are needed: the gate counts those to endpoints
 )
@@ -47,12 +48,16 @@
 	ways   [2]way // for usual requests, and for those with large bodies
 	pilots int    // that are there
 	berths []sidecar.Berth
-	nodes  *moorings.Table // those that somebody may keep to; replaced whole
-	lives  map[string]bool // by name of the life, whether it is beside this pilot
-	warmAt time.Time       // the first endpoint that takes requests is warm then; zero if there is none
+	nodes  *moorings.Table  // those that somebody may keep to; replaced whole
+	lives  map[string]abode // by name of the life
+	near   int              // of them that take requests, in the own zone
+	warmAt time.Time        // the first endpoint that takes requests is warm then; zero if there is none
 	ration pier.Ration
 }
 
+// abode is where a life of an endpoint is: beside this pilot, in its zone, or elsewhere.
+type abode struct{ own, near bool }
+
 // way is a decision module and the classes that it knows.
 type way struct {
 	service *sidecar.Service
@@ -82,7 +87,7 @@
 
 func newFairway(p *Pilot, name string) *fairway {
 	b := &p.s.Bounds
-	return &fairway{p: p, name: name, pilots: 1, lives: map[string]bool{}, nodes: moorings.NewTable(nil), ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
+	return &fairway{p: p, name: name, pilots: 1, lives: map[string]abode{}, nodes: moorings.NewTable(nil), ration: pier.Ration{Window: b.RetryWindow, Ratio: b.RetryRatio}}
 }
 
 func keyOf(r *chart.Route) classKey {
@@ -188,10 +193,10 @@
 // list tells the module the endpoints of the service. It runs in the pilot's loop.
 func (f *fairway) list(nodes []lamp.Node) {
 	p := f.p
-	lives := map[string]bool{}
+	lives := map[string]abode{}
 	var berths []sidecar.Berth
 	var steady []moorings.Node
-	pilots := 0
+	pilots, near := 0, 0
 	var warmAt time.Time
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -204,7 +209,7 @@
 		if e == nil || e.Target != f.name || e.State == beacon.Gone {
 			continue
 		}
-		lives[e.ID] = n.Node == p.s.Node
+		lives[e.ID] = abode{own: n.Node == p.s.Node, near: n.Zone == p.s.Zone}
 		b := sidecar.Berth{Name: e.ID, Addr: n.Inbound, Zone: n.Zone}
 		b.Draining = e.State == beacon.Draining || n.Leaving || n.Dark || p.room.Evacuated(n.Zone) || !p.shunned[e.ID].IsZero()
 		if r, ok := p.room.Removal(e.ID); ok && !r.Back {
@@ -212,6 +217,9 @@
 		}
 		berths = append(berths, b)
 		if !b.Draining {
+			if lives[e.ID].near {
+				near++
+			}
 			steady = append(steady, moorings.Node{Name: e.ID, Weight: e.Capacity})
 			if at := n.Since.Add(e.Cold); warmAt.IsZero() || at.Before(warmAt) {
 				warmAt = at
@@ -219,7 +227,7 @@
 		}
 	}
 	f.lives, f.berths, f.nodes = lives, berths, moorings.NewTable(steady)
-	f.pilots, f.warmAt = max(pilots, 1), warmAt
+	f.pilots, f.near, f.warmAt = max(pilots, 1), near, warmAt
 	for n, w := range f.ways {
 		if w.service != nil {
 			w.service.Servers(f.berthsOf(n), senders, 0)
@@ -344,6 +352,7 @@
 	r        *chart.Route
 	patience time.Duration
 	sent     int // attempts
+	near     int // attempts in the own zone
 	arrived  int // attempts that reached an endpoint
 }
 
@@ -360,7 +369,13 @@
 	f := t.f
 	t.sent++
 	f.mu.Lock()
-	own, known := f.lives[x.Server]
+	at, known := f.lives[x.Server]
+	patience := t.patience
+	if at.near && t.r.Kind != chart.Ingest {
+		if t.near++; t.near < min(f.near, nearLooks) {
+			patience = 0
+		}
+	}
 	stays := time.Now().Before(f.warmAt)
 	may := t.arrived == 0
 	if known && t.arrived > 0 && t.arrived < t.r.Tries {
@@ -375,9 +390,9 @@
 	}
 	var word string
 	var got *sidecar.Reply
-	if own {
+	if at.own {
 		word, got = f.p.quay.take(x.Ctx, &passenger{
-			life: x.Server, rank: t.r.Priority, once: t.r.Kind != chart.Safe, stays: stays, until: x.Until, patience: t.patience, id: t.e.Header.Get(idHeader), body: t.e.Body,
+			life: x.Server, rank: t.r.Priority, once: t.r.Kind != chart.Safe, stays: stays, until: x.Until, patience: patience, id: t.e.Header.Get(idHeader), body: t.e.Body,
 			bare: t.e.Method == http.MethodGet, head: func(b *bytes.Buffer) { t.head(b, x.Server) },
 		})
 	} else {
@@ -387,7 +402,9 @@
 				var b bytes.Buffer
 				t.head(&b, x.Server)
 				sidecar.WriteLine(&b, deadlineHeader, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-				sidecar.WriteLine(&b, patienceHeader, strconv.FormatInt(max(t.patience.Milliseconds(), 1), 10))
+				if patience > 0 {
+					sidecar.WriteLine(&b, patienceHeader, strconv.FormatInt(max(patience.Milliseconds(), 1), 10))
+				}
 				sidecar.WriteLine(&b, rankHeader, strconv.Itoa(t.r.Priority))
 				if t.r.Kind != chart.Safe {
 					sidecar.WriteLine(&b, onceHeader, "1")
