Ask at a gate before a large body goes there; show requests to five endpoints of the zone

Cause: an upload that a gate turned away had crossed the link whole, 60 KB of it, and so was let wait at one gate where a look at others would do; on links of 6 to 8 Mbit/s that is 60 ms each time.

Change: a body of 8 KiB and more follows once the gate has let its request in (Expect: 100-continue between pilots); what holds when it has come counts once more. A request that is turned away leaves the connection to the next. With that, uploads are shown to several endpoints too.

--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -78,6 +78,7 @@
 	order  uint64
 	first  bool // before others of its priority
 	inside bool
+	at     time.Time // it was let in
 }
 
 // early is over 0 for a ticket that goes before others of its priority.
@@ -254,7 +255,7 @@
 }
 
 func (g *Gate) let(now time.Time, t *Ticket) {
-	t.inside = true
+	t.inside, t.at = true, now
 	g.inside++
 	if g.begun.IsZero() {
 		g.begun = now
@@ -286,6 +287,26 @@
 	return t, Wait
 }
 
+// Goes takes that a request that was let in goes to the endpoint only now, as its body had to come: what holds now counts. With
+// another verdict than Pass it has left.
+func (g *Gate) Goes(now time.Time, t *Ticket) Verdict {
+	v := g.closed(now, t.Life)
+	if i := slices.Index(g.arrivals, t.at); v == Pass && now.After(t.at) {
+		if i >= 0 {
+			g.arrivals = slices.Delete(g.arrivals, i, i+1)
+		}
+		if g.cold(now) && g.coldAt(now).After(now) {
+			v = Cold
+		} else {
+			g.arrivals = append(g.arrivals, now)
+		}
+	}
+	if v != Pass {
+		g.Leaves(t)
+	}
+	return v
+}
+
 // Leaves says that a request is over, or is not wanted any more.
 func (g *Gate) Leaves(t *Ticket) {
 	if t.inside {
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -205,3 +205,50 @@
 		}
 	})
 }
+
+// A request whose body had to come is judged by what holds when that has come, and counts at a cold endpoint for that time.
+func TestWhatHoldsWhenTheBodyHasCome(t *testing.T) {
+	later := start.Add(10 * time.Second)
+	let := func(g *Gate) *Ticket {
+		ticket, v := g.Ask(start, Ask{Life: "life", Until: start})
+		if v != Pass {
+			t.Fatal(v)
+		}
+		return ticket
+	}
+	g := gate(Bounds{Drain: 2 * time.Second})
+	ticket := let(g)
+	g.Enter(start.Add(time.Second), "life", Draining)
+	if v := g.Goes(later, ticket); v != Leaving || g.Inside() != 0 {
+		t.Errorf("after a drain: %v, %d inside", v, g.Inside())
+	}
+	g = gate(Bounds{WarmupRate: 2, WarmupExcess: 1, WarmupSlack: 2})
+	g.Said(start, 9, time.Hour)
+	ticket = let(g)
+	if got := fmt.Sprint(ask(g, later), ask(g, later), ask(g, later)); got != "pass pass cold" {
+		t.Fatal(got)
+	}
+	if v := g.Goes(later, ticket); v != Cold {
+		t.Errorf("behind two others of the second: %v", v)
+	}
+}
+
+// At a cold endpoint that nobody knows a warm one beside, a request waits; what may run once goes before others of its rank.
+func TestWhoGoesNextAtAColdEndpoint(t *testing.T) {
+	g := gate(Bounds{WarmupRate: 1, WarmupExcess: 1, WarmupSlack: 1})
+	g.Said(start, 9, time.Hour)
+	later := start.Add(5 * time.Second)
+	g.Ask(start, Ask{Life: "life", Until: later})
+	if _, v := g.Ask(start, Ask{Life: "life", Until: later}); v != Cold {
+		t.Fatalf("one that could go elsewhere: %v", v)
+	}
+	g.Ask(start, Ask{Life: "life", Priority: 1, Stays: true, Until: later})
+	once, v := g.Ask(start, Ask{Life: "life", Priority: 1, Once: true, Stays: true, Until: later})
+	if v != Wait {
+		t.Fatal(v)
+	}
+	_, at := g.Next(start)
+	if out, _ := g.Next(at); len(out) != 1 || out[0].Ticket != once || out[0].Verdict != Pass || at.Sub(start) <= time.Second {
+		t.Fatalf("next %v after %v", out, at.Sub(start))
+	}
+}
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -25,18 +25,19 @@
 	aimPart       = 0.25 // of its aim that a request may wait at a gate without having been offered
 	usualAim      = 500 * time.Millisecond
 	usualTime     = 5 * time.Second
-	moreTries     = 3 // attempts beyond those that may reach an endpoint: gates turn some away
+	moreTries     = 5 // attempts beyond those that may reach an endpoint: gates turn some away
 	backPart      = 0.25
 	lateWorth     = 0.3
 	retireTime    = 30 * time.Second
 	pilotIdle     = 15 * time.Second
 	topWorth      = 4.0
 	leastPatience = 60 * time.Millisecond
-	deadlinePart  = 0.7  // of its route's deadline is what the module takes for a request's aim at least: a late answer earns something too
-	leastRoom     = 5    // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
-	nearLooks     = 3    // endpoints of the own zone that a request is shown to: at all but the last it does not wait, one may be free
-	senders       = 1    // copies that the module takes to send: the gates count exactly, and none need keep to its part of a server
-	manyStreams   = 1024 // connections between pilots are opened as they are needed: the gate counts those to endpoints
+	deadlinePart  = 0.7     // of its route's deadline is what the module takes for a request's aim at least: a late answer earns something too
+	leastRoom     = 5       // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
+	nearLooks     = 5       // endpoints of the own zone that a request is shown to: at all but the last it does not wait, one may be free
+	asksFrom      = 8 << 10 // bytes of a body that is not sent before the gate has let the request in
+	senders       = 1       // copies that the module takes to send: the gates count exactly, and none need keep to its part of a server
+	manyStreams   = 1024    // connections between pilots are opened as they are needed: the gate counts those to endpoints
 )
 
 // fairway is the way to one service: its decision module, and the endpoints that it is told of.
@@ -371,7 +372,7 @@
 	f.mu.Lock()
 	at, known := f.lives[x.Server]
 	patience := t.patience
-	if at.near && t.r.Kind != chart.Ingest {
+	if at.near {
 		if t.near++; t.near < min(f.near, nearLooks) {
 			patience = 0
 		}
@@ -396,8 +397,9 @@
 			bare: t.e.Method == http.MethodGet, head: func(b *bytes.Buffer) { t.head(b, x.Server) },
 		})
 	} else {
+		asks := len(t.e.Body) >= asksFrom
 		fate, r := x.Over(&sidecar.Hop{
-			Body: t.e.Body, Bare: t.e.Method == http.MethodGet, Most: mostBody,
+			Body: t.e.Body, Bare: t.e.Method == http.MethodGet, Most: mostBody, Asks: asks,
 			Head: func(left time.Duration) []byte {
 				var b bytes.Buffer
 				t.head(&b, x.Server)
@@ -409,6 +411,9 @@
 				if t.r.Kind != chart.Safe {
 					sidecar.WriteLine(&b, onceHeader, "1")
 				}
+				if asks {
+					sidecar.WriteLine(&b, asksHeader, "1")
+				}
 				if stays {
 					sidecar.WriteLine(&b, staysHeader, "1")
 				}
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -335,6 +335,20 @@
 	}
 }
 
+// A large body goes only to a gate that has let its request in.
+func TestALargeBodyAsksFirst(t *testing.T) {
+	_, from, to := calm(t)
+	body := strings.Repeat("film", 64<<10)
+	if r, text := from.send("POST", "shop.example", "/pay/", "large", body, nil); r.StatusCode != http.StatusOK || text != "POST /pay/ "+body {
+		t.Fatalf("%s, %d bytes", r.Status, len(text))
+	}
+	to.behave(nil)
+	to.pilot.quay.leave(time.Now())
+	if r, _ := from.send("POST", "shop.example", "/pay/", "none", body, nil); r.StatusCode != http.StatusServiceUnavailable || to.runs() != 0 {
+		t.Fatalf("%s after %d runs", r.Status, to.runs())
+	}
+}
+
 // Once its leaving has been acknowledged and the drain is over, nothing reaches an endpoint, whatever others believe: the
 // request is refused as one that has not run, with a time to come back.
 func TestNothingReachesAnEndpointThatHasLeft(t *testing.T) {
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -25,6 +25,7 @@
 	rankHeader     = "Pilot-Rank"
 	onceHeader     = "Pilot-Once"   // it may run once only
 	staysHeader    = "Pilot-Stays"  // it waits at a cold endpoint too
+	asksHeader     = "Pilot-Asks"   // its body follows once the gate has let it in
 	behindHeader   = "Pilot-Behind" // of an answer: a call of the endpoint's own may be what failed
 	ownPrefix      = "Pilot-"
 
@@ -316,34 +317,75 @@
 	return time.Duration(n * float64(time.Millisecond)), true
 }
 
-// Open sees the head of a request that another pilot sends.
+// Open sees the head of a request that another pilot sends. One with a large body asks at the gate first.
 func (q *quay) Open(e *sidecar.Errand) (int64, *sidecar.Reply) {
 	most, no := q.p.bulk.take(e, mostBody)
 	if no != nil {
 		no.Header = http.Header{wordHeader: {wordTurned + pier.Full.String()}}
+		return most, no
 	}
-	return most, no
+	if e.Header.Get(asksHeader) == "" {
+		return most, nil
+	}
+	p, ok := passengerOf(e)
+	if !ok {
+		return most, nil // Serve says so
+	}
+	t, word := q.admit(q.p.ctx, p)
+	if t == nil {
+		r := worded(http.StatusServiceUnavailable, word, "")
+		r.Unread = true
+		return 0, &r
+	}
+	release := e.Release
+	e.Release = func() {
+		q.leaves(t)
+		if release != nil {
+			release()
+		}
+	}
+	e.Admitted = t
+	return most, nil
 }
 
-// Serve takes a request of another pilot to the endpoint.
-func (q *quay) Serve(ctx context.Context, e *sidecar.Errand) sidecar.Reply {
+// passengerOf reads what another pilot says of a request; ok is false if it does not tell the time left.
+func passengerOf(e *sidecar.Errand) (p *passenger, ok bool) {
 	h := e.Header
 	left, told, ok := sidecar.Deadline(h, deadlineHeader)
 	if !told || !ok {
+		return nil, false
+	}
+	p = &passenger{
+		life: h.Get(targetHeader), once: h.Get(onceHeader) != "", stays: h.Get(staysHeader) != "", until: e.Came.Add(left - localLatency),
+		id: h.Get(idHeader), body: e.Body, bare: e.Method == http.MethodGet,
+	}
+	p.patience, _, _ = sidecar.Deadline(h, patienceHeader)
+	p.rank, _ = strconv.Atoi(h.Get(rankHeader))
+	return p, true
+}
+
+// Serve takes a request of another pilot to the endpoint.
+func (q *quay) Serve(ctx context.Context, e *sidecar.Errand) sidecar.Reply {
+	p, ok := passengerOf(e)
+	if !ok {
 		return worded(http.StatusBadRequest, wordNever, "the time left is not told")
 	}
-	patience, _, _ := sidecar.Deadline(h, patienceHeader)
-	rank, _ := strconv.Atoi(h.Get(rankHeader))
-	life, once, stays := h.Get(targetHeader), h.Get(onceHeader) != "", h.Get(staysHeader) != ""
+	h := e.Header
 	h.Del(deadlineHeader)
 	stripOwn(h)
-	word, r := q.take(ctx, &passenger{
-		life: life, rank: rank, once: once, stays: stays, until: e.Came.Add(left - localLatency), patience: patience, id: h.Get(idHeader), body: e.Body, bare: e.Method == http.MethodGet,
-		head: func(b *bytes.Buffer) {
-			b.WriteString(e.Method + " " + e.URI + " HTTP/1.1\r\nHost: " + e.Host + "\r\n")
-			sidecar.WriteLines(b, h)
-		},
-	})
+	p.head = func(b *bytes.Buffer) {
+		b.WriteString(e.Method + " " + e.URI + " HTTP/1.1\r\nHost: " + e.Host + "\r\n")
+		sidecar.WriteLines(b, h)
+	}
+	var word string
+	var r *sidecar.Reply
+	if t, ok := e.Admitted.(*pier.Ticket); ok {
+		if word = q.goes(t); word == "" {
+			word, r = q.carry(ctx, p, t)
+		}
+	} else {
+		word, r = q.take(ctx, p)
+	}
 	if r == nil {
 		return worded(http.StatusServiceUnavailable, word, "")
 	}
@@ -351,6 +393,25 @@
 	return *r
 }
 
+// goes tells whether a request that was let in when its body had not come may go to the endpoint now; the word if not.
+func (q *quay) goes(t *pier.Ticket) (word string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if v := q.gate.Goes(time.Now(), t); v != pier.Pass {
+		q.decideLocked()
+		return wordTurned + v.String()
+	}
+	return ""
+}
+
+// leaves has a request leave the gate, if it has not.
+func (q *quay) leaves(t *pier.Ticket) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.gate.Leaves(t)
+	q.decideLocked()
+}
+
 func worded(status int, word, text string) sidecar.Reply {
 	return sidecar.Reply{Status: status, Header: http.Header{wordHeader: {word}}, Body: []byte(text)}
 }
@@ -392,6 +453,15 @@
 // take takes a request through the gate to the endpoint, and tells what is certain of it, with the endpoint's answer if
 // there is one.
 func (q *quay) take(ctx context.Context, p *passenger) (word string, r *sidecar.Reply) {
+	t, word := q.admit(ctx, p)
+	if t == nil {
+		return word, nil
+	}
+	return q.carry(ctx, p, t)
+}
+
+// admit asks at the gate, and waits there for as long as the request may. It gives the ticket of what was let in, or the word.
+func (q *quay) admit(ctx context.Context, p *passenger) (*pier.Ticket, string) {
 	now := time.Now()
 	wait := now.Add(p.patience)
 	if wait.After(p.until) {
@@ -415,13 +485,18 @@
 			q.gate.Leaves(t)
 			q.decideLocked()
 			q.mu.Unlock()
-			return wordNever, nil
+			return nil, wordNever
 		}
 	}
 	if v != pier.Pass {
 		q.p.note(p.id, "event=turned life="+p.life+" why="+v.String())
-		return wordTurned + v.String(), nil
+		return nil, wordTurned + v.String()
 	}
+	return t, ""
+}
+
+// carry takes a request that was let in to the endpoint.
+func (q *quay) carry(ctx context.Context, p *passenger, t *pier.Ticket) (word string, r *sidecar.Reply) {
 	begun := time.Now()
 	fate, r := q.wharf.Cross(ctx, &sidecar.Hop{
 		Body: p.body, Bare: p.bare, ID: p.id, Most: mostBody,
--- /dev/null
+++ b/internal/sidecar/asks_test.go
@@ -0,0 +1,53 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// picky is a desk that takes every other request.
+type picky struct{ seen int }
+
+func (p *picky) Open(*Errand) (int64, *Reply) {
+	if p.seen++; p.seen%2 == 0 {
+		return 0, &Reply{Status: http.StatusServiceUnavailable, Unread: true}
+	}
+	return 1 << 20, nil
+}
+
+func (p *picky) Serve(_ context.Context, e *Errand) Reply {
+	return Reply{Status: http.StatusOK, Body: fmt.Append(nil, len(e.Body))}
+}
+
+// A body that is asked for first goes only where it is taken, and what is turned away leaves the connection to the next.
+func TestABodyThatIsAskedForFirst(t *testing.T) {
+	port, err := NewPort("127.0.0.1:0", PortLimits{Connections: 9, Quiet: time.Minute, Head: time.Minute}, &picky{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer port.Close()
+	w := NewWharf(9, time.Minute)
+	defer w.Close()
+	w.Moor(port.Addr().String(), 1)
+	hop := &Hop{
+		Head: func(time.Duration) []byte { return []byte("POST / HTTP/1.1\r\nHost: a\r\n") },
+		Body: []byte(strings.Repeat("x", 200_000)), Most: 1 << 20, Asks: true,
+	}
+	for i := range 6 {
+		fate, r := w.Cross(t.Context(), hop, time.Now().Add(time.Minute))
+		if want := []string{"200 200000", "503 "}[i%2]; fate != Whole || fmt.Sprintf("%d %s", r.Status, r.Body) != want {
+			t.Fatalf("crossing %d: fate %d, %+v, want %s", i, fate, r, want)
+		}
+	}
+	if w.up.open != 1 {
+		t.Errorf("%d connections", w.up.open)
+	}
+	port.Close()
+	if fate, _ := w.Cross(t.Context(), hop, time.Now().Add(time.Minute)); fate != NeverWritten {
+		t.Errorf("with nobody there: fate %d", fate)
+	}
+}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -54,6 +54,7 @@
 	complaint string
 	fixed     *answer                // or this is the answer, and the connection goes on
 	streams   *bodies                // bodies over maxBody may stream, within these bounds; nil where they may not
+	unread    bool                   // with fixed: whoever asked first sends no body, and the connection goes on
 	done      func()                 // to be called once the request is over; may be nil
 	empty     bool                   // the body is read and goes nowhere
 	instead   func(*answer) *standIn // what stands in for an answer, nil for nothing; itself nil where nothing can
@@ -114,7 +115,7 @@
 	}
 	switch {
 	case t.fixed != nil && (m.length == 0 || waits):
-		*lasts = *lasts && m.length == 0
+		*lasts = *lasts && (m.length == 0 || t.unread)
 		return c.answer(t.fixed, !*lasts) == nil
 	case t.fixed != nil:
 		c.giveAway(t.fixed)
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -33,6 +34,7 @@
 	get  bool   // no length is told for an empty body
 	id   string // answers name it in X-Attempt-Id; what names another belongs to another request; "" for any
 	most int64  // bytes of an answer's body
+	asks bool   // the body follows once the server has said that it takes it
 }
 
 const strayAnswers = 4 // of other requests that are passed over before the wanted one
@@ -102,26 +104,31 @@
 	if len(h.body) > 0 || !h.get {
 		writeNumber(&text, "Content-Length", int64(len(h.body)))
 	}
+	if h.asks {
+		text.WriteString("Expect: 100-continue\r\n")
+	}
 	text.WriteString("\r\n")
 	if !a.claim() {
 		return NeverWritten, nil, true
 	}
-	if len(h.body) < maxBody {
-		text.Write(h.body)
-		if n, err := c.Write(text.Bytes()); err != nil || n < text.Len() {
-			return NeverWritten, nil, false
-		}
-	} else {
-		if _, err := c.Write(text.Bytes()); err != nil {
-			return NeverWritten, nil, false
+	next := readAnswerHead
+	if h.asks {
+		no, err := askFirst(c, text.Bytes())
+		if err != nil {
+			return fateOf(brokenOff(a, err, whinknot.ConnectFailed)), nil, false
 		}
-		if n, err := c.Write(h.body); err != nil || n < len(h.body) {
+		if no != nil {
+			next = no
+		} else if n, err := c.Write(h.body); err != nil || n < len(h.body) {
 			return NeverWritten, nil, false
 		}
+	} else if err := writeBoth(c, &text, h.body); err != nil {
+		return NeverWritten, nil, false
 	}
 	u.written.Add(1)
 	for range strayAnswers {
-		status, m, err := readAnswerHead(c.reader)
+		status, m, err := next(c.reader)
+		next = readAnswerHead
 		if err != nil {
 			return fateOf(brokenOff(a, err, whinknot.Reset)), nil, false
 		}
@@ -144,8 +151,44 @@
 	return Broken, nil, false
 }
 
+// writeBoth writes a head and a body, together where that is cheap.
+func writeBoth(c *conn, head *bytes.Buffer, body []byte) error {
+	if len(body) < maxBody {
+		head.Write(body)
+		body = nil
+	}
+	_, err := c.Write(head.Bytes())
+	if err == nil && len(body) > 0 {
+		_, err = c.Write(body)
+	}
+	return err
+}
+
+// askFirst writes a head and waits for the word that the body is taken. If the answer comes instead, no gives its head.
+func askFirst(c *conn, head []byte) (no func(*bufio.Reader) (int, message, error), err error) {
+	if _, err := c.Write(head); err != nil {
+		return nil, err
+	}
+	m, err := readMessage(c.reader)
+	if err != nil {
+		return nil, err
+	}
+	if strings.HasPrefix(m.first, "HTTP/1.1 100 ") {
+		return nil, nil
+	}
+	_, rest, _ := strings.Cut(m.first, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || status < http.StatusOK {
+		return nil, errHead
+	}
+	return func(*bufio.Reader) (int, message, error) { return status, m, nil }, nil
+}
+
 func fateOf(o whinknot.Outcome) Fate {
 	switch o {
+	case whinknot.ConnectFailed:
+		return NeverWritten
 	case whinknot.Cancelled:
 		return CalledOff
 	case whinknot.Timeout:
@@ -161,10 +204,11 @@
 	Bare bool   // an empty body has no length told
 	ID   string // the peer's answer names it in X-Attempt-Id; "" for any
 	Most int64  // bytes of the answer's body
+	Asks bool   // the body follows only once the peer has said that it takes it; if not, nothing has run
 }
 
 func (h *Hop) hop() *hop {
-	return &hop{head: h.Head, body: h.Body, get: h.Bare, id: h.ID, most: h.Most}
+	return &hop{head: h.Head, body: h.Body, get: h.Bare, id: h.ID, most: h.Most, asks: h.Asks && len(h.Body) > 0}
 }
 
 // Wharf holds the connections to one server that can change its address.
--- a/internal/sidecar/port.go
+++ b/internal/sidecar/port.go
@@ -58,6 +58,7 @@
 	Body              []byte
 	Came              time.Time // its head had been read then
 	From              string    // the caller's address
+	Admitted          any       // what Open has noted of it, for Serve
 	Release           func()    // is called once the errand is over; nil for nothing
 }
 
@@ -67,6 +68,8 @@
 	Header     http.Header
 	Body       []byte
 	RetryAfter time.Duration // 0 for none
+	// Unread says of an answer that Open gives to one that asked first that no body follows: its connection goes on.
+	Unread bool
 }
 
 // Desk decides what becomes of errands. Open sees the head alone and tells how many bytes of body are taken, or gives the
@@ -126,7 +129,7 @@
 	e.Header.Del("Host")
 	most, at := desk.Open(e)
 	if at != nil {
-		return taken{fixed: at.answer()}
+		return taken{fixed: at.answer(), unread: at.Unread}
 	}
 	return taken{most: most, done: e.Release, serve: func(ctx context.Context, body []byte) answer {
 		e.Body = body
