Let one lighthouse tell a pilot who is there, and beat slower where there is no news

Change: the nearest lighthouse that sees most of the core tells who is there, the others only what was ordered; keepers that do not hold the duty look each 0.9 s; beats are 0.8 s; pilots that watch each other talk each 2 s while both have a lighthouse. A pilot's connection vouches for it only if it was heard within the second, so one without power is dark sooner.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -29,8 +29,9 @@
 var Start = space.NewType("start")
 
 const (
-	pulse        = 300 * time.Millisecond  // between two looks at each other keeper
-	silence      = 1500 * time.Millisecond // after which a connection counts as dead
+	pulse        = 300 * time.Millisecond  // between two looks of the duty's holder at each other keeper
+	lookTicks    = 3                       // pulses between two looks of any other: what is settled is told at once
+	silence      = 2200 * time.Millisecond // after which a connection counts as dead
 	askTime      = 800 * time.Millisecond  // for one round of asking
 	orderTime    = 3 * time.Second         // for an order, over rounds
 	roundPause   = 30 * time.Millisecond   // between two rounds
@@ -59,6 +60,7 @@
 	lastTold *InForce
 	duty     *helm.Machine
 	changing bool // the holder changes the set
+	ticks    int
 	running  sync.WaitGroup
 	listener net.Listener
 	ctx      context.Context
@@ -76,6 +78,7 @@
 	set    uint64 // number of the set that it goes by
 	knows  bool   // it was told who asks, on this connection
 	told   uint64 // count of what was settled, as it was told
+	turn   int    // of the ticks between two looks, that in which it is looked at
 }
 
 // Address is where the keeper of a machine listens, for its own kind and for lighthouses.
@@ -195,7 +198,7 @@
 	if addr == "" || addr == k.me.Addr || k.peers[addr] != nil {
 		return
 	}
-	p := &peer{addr: addr, asks: map[uint64]func(*Tell){}, met: time.Now()}
+	p := &peer{addr: addr, asks: map[uint64]func(*Tell){}, met: time.Now(), turn: len(k.peers) % lookTicks}
 	k.peers[addr] = p
 	k.running.Go(func() { k.follow(p) })
 }
@@ -247,7 +250,7 @@
 	p.lastID++
 	a.ID, a.From, a.Set = p.lastID, k.me, k.set
 	if p.knows {
-		a.From = tide.Member{Disk: k.me.Disk}
+		a.From = tide.Member{}
 	}
 	if p.set >= k.set.Number {
 		a.Set = tide.Set{Number: k.set.Number}
@@ -284,7 +287,9 @@
 }
 
 // alive tells whether a peer answered just now.
-func (p *peer) alive() bool { return p.conn != nil && time.Since(p.heard) < 3*pulse+askTime }
+func (p *peer) alive() bool {
+	return p.conn != nil && time.Since(p.heard) < (lookTicks+1)*pulse+askTime
+}
 
 // adopt goes by a set that follows the one gone by so far.
 func (k *Keeper) adopt(s *tide.Set) {
@@ -302,8 +307,11 @@
 
 // tick looks at every peer, and does what is due.
 func (k *Keeper) tick() {
+	k.ticks++
 	for _, p := range k.peers {
-		k.look(p)
+		if k.duty.State() == helm.Holding || k.ticks%lookTicks == p.turn {
+			k.look(p)
+		}
 	}
 	k.dutyTick()
 	k.tell()
@@ -427,7 +435,7 @@
 		t.Set = k.set
 	}
 	if a.From.Addr == "" {
-		t.From = tide.Member{Disk: k.me.Disk}
+		t.From = tide.Member{}
 	}
 	t.Differs = a.Digest != 0 && a.Digest != k.copy.Digest()
 	for _, h := range a.Settled {
--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -27,7 +27,7 @@
 	Sheet    *beacon.Sheet    // if it has changed
 	Ack      uint64           // the number of the last change it goes by
 	Holds    uint64           // the version of the configuration it goes by
-	Main     bool             // configurations are to be sent to it whole, before it asks
+	Main     bool             // it is to be told who is there, and configurations are to be sent to it whole, before it asks
 	Opinions []muster.Opinion // of lives that it finds unwell, and of those that it is asked about
 	Want     bool             // it lacks the configuration that it was told the version of
 }
@@ -101,12 +101,16 @@
 
 // Hear takes news of a lighthouse.
 func (c *Chartroom) Hear(now time.Time, from string, d *Down) (ch Change) {
+	c.sighted[from] = d.Sighted
+	if d.Whole { // who is there is told by this one from now on: what others told gets old
+		clear(c.views)
+		c.views[from] = map[string]beacon.Known{}
+	}
 	view := c.views[from]
-	if view == nil || d.Whole {
+	if view == nil && len(d.Nodes) > 0 {
 		view = map[string]beacon.Known{}
 		c.views[from] = view
 	}
-	c.sighted[from] = d.Sighted
 	for _, n := range d.Nodes {
 		view[n.Node] = n
 	}
@@ -167,11 +171,14 @@
 func (c *Chartroom) Lose(now time.Time, from string) bool {
 	if len(c.views) > 1 {
 		delete(c.views, from)
-		delete(c.sighted, from)
 	}
+	delete(c.sighted, from)
 	return c.Merge(now)
 }
 
+// Sighted tells whether a lighthouse sees most of the core, as it said last.
+func (c *Chartroom) Sighted(from string) bool { return c.sighted[from] }
+
 // Merge makes one picture of all views and tells whether it has changed. A node is dark if all that know its newest life and
 // see the core say so.
 func (c *Chartroom) Merge(now time.Time) (changed bool) {
--- a/internal/lamp/lamp_test.go
+++ b/internal/lamp/lamp_test.go
@@ -99,3 +99,26 @@
 		t.Fatalf("since %v, want %v", got, start)
 	}
 }
+
+// Who is there is told by one lighthouse at a time: as soon as another tells it whole, what the first told is not gone by, and what
+// nobody names any more is kept for a while.
+func TestAnotherLighthouseTellsWhoIsThere(t *testing.T) {
+	known := func(node string, dark bool) beacon.Known {
+		return beacon.Known{Sheet: beacon.Sheet{Node: node, Life: 1, Number: 1}, Dark: dark}
+	}
+	c := NewChartroom(time.Second)
+	c.Hear(start, "a", &Down{Whole: true, Sighted: true, Nodes: []beacon.Known{known("m", false), known("n", false)}})
+	c.Hear(start, "b", &Down{Sighted: true})
+	if c.Hear(start, "b", &Down{Whole: true, Sighted: true, Nodes: []beacon.Known{known("n", true)}}); !c.Nodes()[1].Dark {
+		t.Error("the word of the one before keeps a dark node alive")
+	}
+	if len(c.Nodes()) != 2 {
+		t.Error("a node is gone as soon as another lighthouse does not name it")
+	}
+	if c.Merge(start.Add(2 * time.Second)); len(c.Nodes()) != 1 {
+		t.Error("a node that nobody names stays for ever")
+	}
+	if c.Lose(start, "b"); len(c.Nodes()) != 1 || c.Sighted("b") {
+		t.Error("the last word is forgotten with its lighthouse")
+	}
+}
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -29,10 +29,11 @@
 var Start = space.NewType("start")
 
 const (
-	pulse      = 500 * time.Millisecond  // between two words to each pilot and lighthouse
-	silence    = 1800 * time.Millisecond // after which a connection counts as dead
+	pulse      = 500 * time.Millisecond  // between two looks at what is due
+	beat       = 800 * time.Millisecond  // between two words to each pilot and lighthouse where there is no news
+	silence    = 2200 * time.Millisecond // after which a connection counts as dead
 	sleepTicks = 3                       // pulses without a look after which it is this process that stood still
-	vouchTicks = 2                       // pulses from one vouching for all pilots to the next
+	vouchTicks = 2                       // pulses from one vouching for those pilots to the next that were heard meanwhile
 	darkAfter  = 2500 * time.Millisecond // a pilot that nobody has heard of
 	forget     = 30 * time.Second
 	batch      = 10 * time.Millisecond  // changes of so long are pushed together
@@ -75,8 +76,9 @@
 	pushed uint64 // number of the last change
 	acked  uint64
 	last   time.Time // something was sent
+	heard  time.Time // something came
 	sight  bool      // as last told
-	main   bool      // configurations are sent to it whole
+	main   bool      // it is told who is there, and configurations are sent to it whole
 	holds  uint64    // version that it goes by
 }
 
@@ -246,7 +248,7 @@
 // serveSister hears another lighthouse.
 func (l *Lighthouse) serveSister(conn *signal.Conn, ip, zone string) {
 	l.loop.Post(func() { l.meet(ip, zone) })
-	l.running.Go(func() { conn.Beat(pulse, &lamp.Up{}) })
+	l.running.Go(func() { conn.Beat(beat, &lamp.Up{}) })
 	for {
 		var a lamp.Across
 		if conn.Receive(&a) != nil {
@@ -259,9 +261,9 @@
 // heard takes what a pilot says.
 func (l *Lighthouse) heard(k *link, up *lamp.Up) {
 	now := time.Now()
-	k.holds, k.main = up.Holds, up.Main
-	if !l.pilots[k] {
-		l.pilots[k] = true
+	first, became := !l.pilots[k], up.Main && !k.main
+	l.pilots[k], k.holds, k.main, k.heard = true, up.Holds, up.Main, now
+	if first || became {
 		l.push(k, l.wholePicture(k))
 	}
 	if f := l.inForce; up.Want && f != nil && f.Version > k.holds {
@@ -336,7 +338,9 @@
 	clear(l.changed)
 	clear(l.across)
 	for k := range l.pilots {
-		l.push(k, d)
+		if k.main {
+			l.push(k, d)
+		}
 	}
 	if len(a.Sheets) > 0 {
 		for _, k := range l.sisters {
@@ -354,9 +358,13 @@
 	l.say(k, &d)
 }
 
-// wholePicture is everything that a pilot is told at first.
+// wholePicture is everything that a pilot is told at first. Who is there it is told by one lighthouse alone.
 func (l *Lighthouse) wholePicture(k *link) lamp.Down {
-	return lamp.Down{Whole: true, Nodes: l.registry.All(), InForce: l.orderFor(k), Core: l.machines(), Sighted: l.sighted()}
+	d := lamp.Down{InForce: l.orderFor(k), Core: l.machines(), Sighted: l.sighted()}
+	if k.main {
+		d.Whole, d.Nodes = true, l.registry.All()
+	}
+	return d
 }
 
 // orderFor is what is in force, for a pilot: one that has the configuration, or will have it from another lighthouse, is
@@ -406,7 +414,7 @@
 		switch {
 		case k.sight != l.sighted():
 			l.push(k, lamp.Down{Sighted: l.sighted(), Core: l.machines()})
-		case now.Sub(k.last) >= pulse:
+		case now.Sub(k.last) >= beat-pulse/2:
 			l.say(k, &lamp.Down{Sighted: k.sight})
 		}
 	}
@@ -414,14 +422,17 @@
 	a := lamp.Across{Votes: l.council.news()}
 	if l.ticks++; l.ticks%vouchTicks == 0 {
 		for k := range l.pilots {
-			if k.life != 0 {
+			if k.life != 0 && now.Sub(k.heard) < vouchTicks*pulse+pulse/2 {
 				a.Vouch = append(a.Vouch, beacon.Mark(k.node, k.life))
 			}
 		}
 	}
 	for ip, k := range l.sisters {
-		if k != nil {
-			l.core[ip].at = now
+		if k == nil {
+			continue
+		}
+		l.core[ip].at = now
+		if l.ticks%vouchTicks == 0 || len(a.Votes) > 0 {
 			l.say(k, &a)
 		}
 	}
--- a/internal/pilot/explain.go
+++ b/internal/pilot/explain.go
@@ -15,7 +15,7 @@
 
 const (
 	storyEvents = 4096 // remembered; a request makes two to six
-	talkSilence = 2 * time.Second
+	talkSilence = 4 * time.Second
 )
 
 // Talk is what is said to a pilot: a question of operators, or what another pilot goes by.
--- a/internal/pilot/gossip.go
+++ b/internal/pilot/gossip.go
@@ -13,13 +13,13 @@
 
 const (
 	watchedCount = 3
-	watchPulse   = time.Second
-	watchQuiet   = 2500 * time.Millisecond
+	watchPulse   = time.Second // between two words to each, of one that has no lighthouse
+	calmPulses   = 2           // and of one that has one, so many times that
+	watchQuiet   = 4500 * time.Millisecond
 )
 
 // Gossip is what pilots say to each other: what each goes by, and what the other lacks.
 type Gossip struct {
-	Node    string
 	Version uint64
 	Zones   uint64     // sum of the numbers of evacuations: it rises with each
 	Removed tide.Stamp // of removals
@@ -72,7 +72,7 @@
 // gossip is what this pilot goes by. It runs in the loop.
 func (p *Pilot) gossip() *Gossip {
 	f := p.room.InForce()
-	g := &Gossip{Node: p.s.Node, Version: f.Version, Removed: f.Removed, Cut: p.links.main() == ""}
+	g := &Gossip{Version: f.Version, Removed: f.Removed, Cut: p.links.main() == ""}
 	for _, e := range f.Evacuations {
 		g.Zones += e.Stamp.Number
 	}
@@ -105,7 +105,7 @@
 			conn.Close()
 		}
 	}()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-end:
 			return
@@ -124,6 +124,9 @@
 		if !ok {
 			return
 		}
+		if !mine.Cut && n%calmPulses > 0 {
+			continue
+		}
 		var theirs Gossip
 		if conn.Send(&Talk{Gossip: mine}) == nil && conn.Receive(&theirs) == nil {
 			p.loop.Post(func() { w.heard(name, &theirs) })
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	linkPulse   = 500 * time.Millisecond
-	linkSilence = 1500 * time.Millisecond
+	linkPulse   = 800 * time.Millisecond // between two words to a lighthouse where there is no news
+	linkSilence = 2200 * time.Millisecond
 	linkQueue   = 64 // words to one lighthouse that it has not taken
 	linkCount   = 3  // lighthouses that are connected to at once
 	retryAfter  = 250 * time.Millisecond
@@ -30,6 +30,7 @@
 	known  map[string]string // zones of the machines of the core; "" where it is not known
 	active map[string]*link
 	failed map[string]time.Time // not to be tried before
+	told   string               // the main one, as lighthouses were told
 }
 
 type link struct {
@@ -108,14 +109,34 @@
 	}
 }
 
-// main is the lighthouse that sends configurations whole: the nearest one that there is a connection to.
+// main is the lighthouse that tells who is there, and sends configurations whole: the nearest of those that there is a connection
+// to, and of those one that sees most of the core, if any does.
 func (l *links) main() string {
+	first := ""
 	for _, ip := range l.order() {
 		if k := l.active[ip]; k != nil && k.conn != nil {
-			return ip
+			if l.p.room.Sighted(ip) {
+				return ip
+			}
+			first = cmp.Or(first, ip)
+		}
+	}
+	return first
+}
+
+// settleMain tells the lighthouse that has become the main one, and the one that was.
+func (l *links) settleMain() {
+	now := l.main()
+	if now == l.told {
+		return
+	}
+	was := l.told
+	l.told = now
+	for _, ip := range []string{now, was} {
+		if k := l.active[ip]; k != nil && k.conn != nil {
+			l.send(k, l.up(k))
 		}
 	}
-	return ""
 }
 
 // up is what every word to a lighthouse says.
@@ -146,6 +167,7 @@
 			up := l.up(k)
 			up.Sheet = &sheet
 			l.send(k, up)
+			l.settleMain()
 		})
 		for {
 			var d lamp.Down
@@ -201,6 +223,7 @@
 		l.known[m.IP] = m.Zone
 	}
 	l.p.news(l.p.room.Hear(time.Now(), k.ip, d))
+	l.settleMain()
 	if d.Number > 0 {
 		k.ack = d.Number
 		if k.conn != nil {
@@ -247,5 +270,6 @@
 	delete(l.active, k.ip)
 	l.failed[k.ip] = now.Add(retryAfter)
 	l.p.news(lamp.Change{Nodes: l.p.room.Lose(now, k.ip)})
+	l.settleMain()
 	l.tick()
 }
