Have a gate that was started anew know the endpoint's slots before its next beat

Change: until the endpoint says it, what this pilot's process before told of that life counts, else the fewest slots of the service, else six; a new life has said nothing yet.

--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -60,7 +60,7 @@
 	second    = time.Second // the span that the rule about cold endpoints counts in
 	coldPart  = 1.0         // of the rate that a cold endpoint bears
 	usedPart  = 0.6         // of what the rule allows, at most
-	fewSlots  = 1
+	fewSlots  = 6           // of an endpoint that has not said how many it has, and of which nobody else knows
 )
 
 // Ask is one request at the gate.
@@ -96,6 +96,7 @@
 	life      string
 	ended     map[string]bool // lives that are over
 	capacity  int
+	guess     int // slots, as long as the endpoint has not said how many
 	coldUntil time.Time
 	closeAt   time.Time // with Draining: nothing is let in from then on
 	leaveAt   time.Time // this pilot ends; zero for not
@@ -125,6 +126,9 @@
 // Capacity is how many requests the endpoint works on at once, as it says.
 func (g *Gate) Capacity() int { return g.capacity }
 
+// Guess says how many slots the endpoint is likely to have: it counts until the endpoint says so itself.
+func (g *Gate) Guess(slots int) { g.guess = slots }
+
 // ColdLeft is how long the endpoint is still cold.
 func (g *Gate) ColdLeft(now time.Time) time.Duration { return max(g.coldUntil.Sub(now), 0) }
 
@@ -143,7 +147,7 @@
 		if g.life != "" {
 			g.ended[g.life] = true
 		}
-		g.life, g.coldUntil, g.doubtful = life, time.Time{}, false
+		g.life, g.coldUntil, g.doubtful, g.capacity = life, time.Time{}, false, 0
 	case to == g.state:
 		return false
 	case g.state == Draining && (to == Serving || to == Down):
@@ -227,7 +231,7 @@
 
 // slots is how many requests may be inside at once.
 func (g *Gate) slots() int {
-	n := max(g.capacity, fewSlots)
+	n := cmp.Or(g.capacity, g.guess, fewSlots)
 	if g.bounds.MaxConns > 0 {
 		n = min(n, g.bounds.MaxConns)
 	}
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -176,6 +176,32 @@
 	}
 }
 
+// Until an endpoint says how many slots it has, what others know of it counts, and then a few; a new life has said nothing yet.
+func TestSlotsOfAnEndpointThatHasNotSaid(t *testing.T) {
+	inside := func(g *Gate, life string) (n int) {
+		for ; ; n++ {
+			if _, v := g.Ask(start, Ask{Life: life, Until: start}); v != Pass {
+				return n
+			}
+		}
+	}
+	g := New(Bounds{})
+	g.Evacuate(false)
+	g.Enter(start, "life", Serving)
+	if n := inside(g, "life"); n != fewSlots {
+		t.Errorf("%d without a word of anybody", n)
+	}
+	if g.Guess(9); inside(g, "life")+fewSlots != 9 {
+		t.Errorf("%d inside, others say 9", g.Inside())
+	}
+	if g.Said(start, 11, 0); inside(g, "life") != 2 {
+		t.Errorf("%d inside, it says 11", g.Inside())
+	}
+	if g.Enter(start, "next", Serving); g.Capacity() != 0 {
+		t.Error("a new life is taken to have said what the one before did")
+	}
+}
+
 // Whatever each of several pilots sees, their repeats together stay within the bound of the rule.
 func TestRepeatsOfAllPilotsTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -274,6 +274,7 @@
 // relist tells every service its endpoints.
 func (p *Pilot) relist() {
 	nodes := p.room.Nodes()
+	p.quay.guess(nodes)
 	for _, f := range p.fairway {
 		f.list(nodes)
 	}
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -207,6 +207,29 @@
 	q.p.say()
 }
 
+// guess takes from what others tell how many slots the endpoint is likely to have: what this pilot's process before told of the same
+// life, or else the fewest that an endpoint of its service has. It runs in the pilot's loop.
+func (q *quay) guess(nodes []lamp.Node) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, life := q.gate.State()
+	few := 0
+	for i := range nodes {
+		e := nodes[i].Endpoint
+		switch {
+		case e == nil || e.Capacity <= 0:
+		case e.ID == life:
+			q.gate.Guess(e.Capacity)
+			return
+		case e.Target == q.p.service() && (few == 0 || e.Capacity < few):
+			few = e.Capacity
+		}
+	}
+	if few > 0 {
+		q.gate.Guess(few)
+	}
+}
+
 // leave says that this pilot ends.
 func (q *quay) leave(from time.Time) {
 	q.mu.Lock()
