Try a lost peer again soon at first; let requests wait a moment for the first configuration

Cause: after all processes were killed the pilots took requests 0.03 s after they were started, and refused them for 0.2 s more: keepers, lighthouses and pilots that found each other not there yet tried again after 125 to 500 ms.

Change: pauses begin at 25 ms and double to what they were; a request that comes before the first configuration waits a tenth of its time, 250 ms at most, before it is refused.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -30,6 +30,7 @@
 
 const (
 	pulse        = 300 * time.Millisecond  // between two looks of the duty's holder at each other keeper
+	firstPause   = 25 * time.Millisecond   // before a peer is tried again
 	lookTicks    = 3                       // pulses between two looks of any other: what is settled is told at once
 	silence      = 2200 * time.Millisecond // after which a connection counts as dead
 	askTime      = 800 * time.Millisecond  // for one round of asking
@@ -205,11 +206,13 @@
 
 // follow holds a connection to a peer.
 func (k *Keeper) follow(p *peer) {
+	pause := signal.Pause{First: firstPause, Most: pulse}
 	for k.ctx.Err() == nil {
 		conn, err := signal.Dial(k.ctx, p.addr, silence)
 		if err == nil {
 			hello := Hello{Keeper: &k.me}
 			if err = conn.Send(&hello); err == nil {
+				pause.Reset()
 				k.loop.Post(func() { p.conn, p.knows, p.told, p.set = conn, false, 0, 0; k.look(p) })
 				for err == nil {
 					var t Tell
@@ -223,7 +226,7 @@
 		}
 		select {
 		case <-k.ctx.Done():
-		case <-time.After(pulse/2 + rand.N(pulse/2)):
+		case <-time.After(pause.Next()):
 		}
 	}
 }
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -32,6 +32,7 @@
 	pulse      = 500 * time.Millisecond  // between two looks at what is due
 	beat       = 800 * time.Millisecond  // between two words to each pilot and lighthouse where there is no news
 	silence    = 2200 * time.Millisecond // after which a connection counts as dead
+	firstPause = 25 * time.Millisecond   // before a peer is tried again
 	sleepTicks = 3                       // pulses without a look after which it is this process that stood still
 	vouchTicks = 2                       // pulses from one vouching for those pilots to the next that were heard meanwhile
 	darkAfter  = 2500 * time.Millisecond // a pilot that nobody has heard of
@@ -171,11 +172,13 @@
 
 // follow holds a connection to another lighthouse: what it says is heard over the one that it holds to this one.
 func (l *Lighthouse) follow(ip string) {
+	pause := signal.Pause{First: firstPause, Most: pulse}
 	for l.ctx.Err() == nil {
 		conn, err := signal.Dial(l.ctx, Address(ip, l.s), silence)
 		if err == nil {
 			k := &link{out: signal.NewOutbox(conn, queue), node: ip}
 			if conn.Send(&lamp.Hello{Lighthouse: l.s.IP, Zone: l.s.Zone}) == nil {
+				pause.Reset()
 				l.loop.Post(func() {
 					l.sisters[ip], l.core[ip].at = k, time.Now()
 					l.say(k, l.wholeAcross())
@@ -194,7 +197,7 @@
 		}
 		select {
 		case <-l.ctx.Done():
-		case <-time.After(pulse):
+		case <-time.After(pause.Next()):
 		}
 	}
 }
--- a/internal/lighthouse/store.go
+++ b/internal/lighthouse/store.go
@@ -28,10 +28,12 @@
 // follow holds a connection to a keeper.
 func (s *store) follow() {
 	l := s.l
+	pause := signal.Pause{First: firstPause, Most: pulse / 4}
 	for l.ctx.Err() == nil {
 		conn, err := signal.Dial(l.ctx, keeper.Address(l.s.IP, l.s), silence)
 		if err == nil {
 			if conn.Send(&keeper.Hello{Lighthouse: l.s.Node}) == nil {
+				pause.Reset()
 				l.loop.Post(func() { s.conn = conn })
 				l.running.Go(func() { conn.Beat(storeBeat, &keeper.Order{Kind: keeper.Beat}) })
 				for {
@@ -47,7 +49,7 @@
 		}
 		select {
 		case <-l.ctx.Done():
-		case <-time.After(pulse / 4):
+		case <-time.After(pause.Next()):
 		}
 	}
 }
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -27,6 +27,8 @@
 	usualTime     = 5 * time.Second
 	moreTries     = 5 // attempts beyond those that may reach an endpoint: gates turn some away
 	backPart      = 0.25
+	chartPart     = 0.1 // of its time that a request waits for the first configuration, and for so long at most
+	chartMost     = 250 * time.Millisecond
 	lateWorth     = 0.3
 	retireTime    = 30 * time.Second
 	pilotIdle     = 15 * time.Second
@@ -242,6 +244,9 @@
 // Open sees the head of a request.
 func (h *harbour) Open(e *sidecar.Errand) (int64, *sidecar.Reply) {
 	v := h.p.view.Load()
+	if v.chart == nil {
+		v = h.p.awaitChart(e)
+	}
 	if v.chart == nil {
 		return 0, &sidecar.Reply{Status: http.StatusServiceUnavailable, RetryAfter: 200 * time.Millisecond, Body: []byte("no configuration yet\n")}
 	}
@@ -258,6 +263,23 @@
 	return h.p.bulk.take(e, v.chart.Limits.MaxBody)
 }
 
+// awaitChart waits for the first configuration, for a small part of the time that a request has: a pilot that has just started gets
+// it in a moment.
+func (p *Pilot) awaitChart(e *sidecar.Errand) *view {
+	left, told, _ := sidecar.Deadline(e.Header, deadlineHeader)
+	if !told {
+		left = usualTime
+	}
+	timer := time.NewTimer(min(time.Duration(chartPart*float64(left)), chartMost))
+	defer timer.Stop()
+	select {
+	case <-p.charted:
+	case <-timer.C:
+	case <-p.ctx.Done():
+	}
+	return p.view.Load()
+}
+
 // Serve has a request served by the service of its route, by the configuration in force once it has come whole.
 func (h *harbour) Serve(ctx context.Context, e *sidecar.Errand) sidecar.Reply {
 	v := h.p.view.Load()
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -16,9 +16,10 @@
 const (
 	linkPulse   = 800 * time.Millisecond // between two words to a lighthouse where there is no news
 	linkSilence = 2200 * time.Millisecond
-	linkQueue   = 64 // words to one lighthouse that it has not taken
-	linkCount   = 3  // lighthouses that are connected to at once
-	retryAfter  = 250 * time.Millisecond
+	linkQueue   = 64                    // words to one lighthouse that it has not taken
+	linkCount   = 3                     // lighthouses that are connected to at once
+	firstPause  = 25 * time.Millisecond // before a lighthouse is tried again, at first and at most
+	mostPause   = 250 * time.Millisecond
 	wantAfter   = 60 * time.Millisecond // the nearest lighthouse has sent a configuration by then
 	wantAgain   = 300 * time.Millisecond
 )
@@ -30,7 +31,8 @@
 	known  map[string]string // zones of the machines of the core; "" where it is not known
 	active map[string]*link
 	failed map[string]time.Time // not to be tried before
-	told   string               // the main one, as lighthouses were told
+	pauses map[string]*signal.Pause
+	told   string // the main one, as lighthouses were told
 }
 
 type link struct {
@@ -42,7 +44,7 @@
 }
 
 func newLinks(p *Pilot) *links {
-	return &links{p: p, s: p.s, known: map[string]string{}, active: map[string]*link{}, failed: map[string]time.Time{}}
+	return &links{p: p, s: p.s, known: map[string]string{}, active: map[string]*link{}, failed: map[string]time.Time{}, pauses: map[string]*signal.Pause{}}
 }
 
 func (l *links) meetSeeds() { l.p.loop.Post(func() { l.settings(l.s) }) }
@@ -163,6 +165,9 @@
 		p.running.Go(out.Run)
 		p.loop.Post(func() {
 			k.conn, k.out = conn, out
+			if pause := l.pauses[ip]; pause != nil {
+				pause.Reset()
+			}
 			sheet := p.sheet
 			up := l.up(k)
 			up.Sheet = &sheet
@@ -268,7 +273,12 @@
 	}
 	now := time.Now()
 	delete(l.active, k.ip)
-	l.failed[k.ip] = now.Add(retryAfter)
+	if l.pauses[k.ip] == nil {
+		l.pauses[k.ip] = &signal.Pause{First: firstPause, Most: mostPause}
+	}
+	pause := l.pauses[k.ip].Next()
+	l.failed[k.ip] = now.Add(pause)
+	time.AfterFunc(pause+time.Millisecond, func() { l.p.loop.Post(l.tick) })
 	l.p.news(lamp.Change{Nodes: l.p.room.Lose(now, k.ip)})
 	l.settleMain()
 	l.tick()
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -57,6 +57,7 @@
 	watch   *watchers
 	sheet   beacon.Sheet
 	view    atomic.Pointer[view]
+	charted chan struct{}       // closed once there is a configuration
 	fairway map[string]*fairway // by service
 	shunned map[string]time.Time
 	quay    *quay
@@ -90,7 +91,7 @@
 	}
 	p := &Pilot{
 		s: s, log: log, loop: shore.NewLoop(512), room: lamp.NewChartroom(keepMissing),
-		fairway: map[string]*fairway{}, shunned: map[string]time.Time{},
+		charted: make(chan struct{}), fairway: map[string]*fairway{}, shunned: map[string]time.Time{},
 	}
 	p.view.Store(&view{})
 	p.target.Store(&s.Target)
@@ -257,7 +258,11 @@
 		f.chart(c)
 		services[name] = f
 	}
+	first := p.view.Load().chart == nil
 	p.view.Store(&view{chart: c, services: services})
+	if first {
+		close(p.charted)
+	}
 	p.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("configuration in force")
 }
 
--- /dev/null
+++ b/internal/signal/pause_test.go
@@ -0,0 +1,21 @@
+package signal
+
+import (
+	"testing"
+	"time"
+)
+
+// A peer that was just lost is tried again soon, one that stays away less and less often, and never less than was said.
+func TestPausesGrowToTheirMost(t *testing.T) {
+	p := Pause{First: 20 * time.Millisecond, Most: 300 * time.Millisecond}
+	most := p.First
+	for range 20 {
+		if d := p.Next(); d < most/2 || d > most {
+			t.Fatalf("%v, want from %v to %v", d, most/2, most)
+		}
+		most = min(2*most, p.Most)
+	}
+	if p.Reset(); p.Next() > p.First {
+		t.Error("after it was reached, the first wait is long")
+	}
+}
