Know what is in force after a restart of the whole core without an order

Change: keepers that find by their digests that a majority of the disks holds just the same settle all of it; for three seconds after its start a keeper tells all that it holds or nothing. Test: three keepers are killed and started; each tells both, never a part (without the change it fails).

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -30,6 +30,7 @@
 
 const (
 	pulse        = 300 * time.Millisecond  // between two looks of the duty's holder at each other keeper
+	wholeWait    = 3 * time.Second         // from its start on, for which a keeper tells of nothing before all that it holds is settled
 	firstPause   = 25 * time.Millisecond   // before a peer is tried again
 	lookTicks    = 3                       // pulses between two looks of any other: what is settled is told at once
 	silence      = 2200 * time.Millisecond // after which a connection counts as dead
@@ -62,6 +63,7 @@
 	duty     *helm.Machine
 	changing bool // the holder changes the set
 	ticks    int
+	begun    time.Time
 	running  sync.WaitGroup
 	listener net.Listener
 	ctx      context.Context
@@ -79,6 +81,7 @@
 	set    uint64 // number of the set that it goes by
 	knows  bool   // it was told who asks, on this connection
 	told   uint64 // count of what was settled, as it was told
+	same   uint64 // digest of all that is held, when it was last found to hold the same
 	turn   int    // of the ticks between two looks, that in which it is looked at
 }
 
@@ -100,7 +103,7 @@
 		log.Error().Err(spoilt).Msg("disk counts as lost")
 	}
 	k := &Keeper{
-		s: s, log: log, book: book, loop: shore.NewLoop(256), settled: map[string]tide.Stamp{},
+		s: s, log: log, book: book, loop: shore.NewLoop(256), begun: time.Now(), settled: map[string]tide.Stamp{},
 		peers: map[string]*peer{}, boats: map[*signal.Outbox]bool{},
 	}
 	if err := k.recall(); err != nil {
@@ -213,7 +216,7 @@
 			hello := Hello{Keeper: &k.me}
 			if err = conn.Send(&hello); err == nil {
 				pause.Reset()
-				k.loop.Post(func() { p.conn, p.knows, p.told, p.set = conn, false, 0, 0; k.look(p) })
+				k.loop.Post(func() { p.conn, p.knows, p.told, p.set, p.same = conn, false, 0, 0, 0; k.look(p) })
 				for err == nil {
 					var t Tell
 					if err = conn.Receive(&t); err == nil {
@@ -322,13 +325,37 @@
 
 // look compares with a peer, and mends from it what is newer there.
 func (k *Keeper) look(p *peer) {
-	k.ask(p, Ask{Digest: k.copy.Digest(), Duty: k.dutySign()}, func(t *Tell) {
-		if t != nil && t.Differs {
+	digest := k.copy.Digest()
+	k.ask(p, Ask{Digest: digest, Duty: k.dutySign()}, func(t *Tell) {
+		switch {
+		case t == nil || t.Behind:
+		case t.Differs:
 			k.compare(p)
+		default:
+			p.same = digest
+			k.agree()
 		}
 	})
 }
 
+// agree settles everything that is held, if a majority of the disks that count holds just the same: so a core that was started anew,
+// all of it perhaps, knows what is in force without an order.
+func (k *Keeper) agree() {
+	digest := k.copy.Digest()
+	same := map[string]bool{k.me.Disk: true}
+	for _, p := range k.peers {
+		if p.conn != nil && p.same == digest {
+			same[p.member.Disk] = true
+		}
+	}
+	if !k.set.Reached(same) {
+		return
+	}
+	for _, e := range k.copy.All() {
+		k.settle(e.Key, e.Stamp)
+	}
+}
+
 // compare has a peer tell what it holds in the ranges that differ, and tells it in turn.
 func (k *Keeper) compare(p *peer) {
 	d := k.copy.Digests()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -214,6 +214,43 @@
 	}
 }
 
+// A core that was killed whole knows what is in force again without any order, and at no time a part of it.
+func TestACoreThatWasKilledKnowsWhatIsInForce(t *testing.T) {
+	f := newFleet(t, 3)
+	f.until(0, Order{Kind: PutConfig, Body: config(5)}, 10*time.Second, done)
+	f.until(1, Order{Kind: BeginEvacuation, Zone: "z1"}, 10*time.Second, done)
+	for i := range 3 {
+		f.stop(i)
+	}
+	for i := range 3 {
+		f.start(i, false)
+	}
+	for i := range 3 {
+		var conn *signal.Conn
+		for end := time.Now().Add(10 * time.Second); conn == nil && time.Now().Before(end); {
+			conn, _ = signal.Dial(t.Context(), Address(f.ip(i), &berth.Settings{PortFrom: f.port - 1}), 10*time.Second)
+		}
+		if conn == nil {
+			t.Fatalf("keeper %d does not listen", i)
+		}
+		defer conn.Close()
+		if err := conn.Send(&Hello{Lighthouse: "test"}); err != nil {
+			t.Fatal(err)
+		}
+		for known := false; !known; {
+			var w Word
+			if err := conn.Receive(&w); err != nil {
+				t.Fatalf("keeper %d does not know what is in force: %v", i, err)
+			}
+			if w.InForce != nil && w.InForce.Version > 0 {
+				if known = true; w.InForce.Version != 5 || len(w.InForce.Evacuations) != 1 {
+					t.Errorf("keeper %d tells a part: %+v", i, w.InForce)
+				}
+			}
+		}
+	}
+}
+
 // counted waits until a keeper's present disk counts: the set at the others names it.
 func (f *fleet) counted(i int, within time.Duration) {
 	f.t.Helper()
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -41,12 +41,16 @@
 // boatQueue is how many words a lighthouse may be behind.
 const boatQueue = 64
 
-// inForce is what a majority is known to hold.
+// inForce is what a majority is known to hold. For a while after its start a keeper tells all of that or nothing: who heard of a
+// configuration without the evacuations that go with it would send into a zone that is to get nothing.
 func (k *Keeper) inForce() *InForce {
 	f := &InForce{Settled: k.inSight()}
 	for _, e := range k.copy.All() {
 		s, ok := k.settled[e.Key]
 		if !ok || s.Compare(e.Stamp) != 0 {
+			if time.Since(k.begun) < wholeWait {
+				return &InForce{}
+			}
 			continue
 		}
 		if e.Key == configKey {
