Split the decision module by concern; count windows and rates in one package

Need: a file that holds all decisions is to be split. Change: balancer.go keeps what a copy is and the way of an event, queue.go how a call comes and waits, choice.go which server it gets, attempts.go how attempts and the call end, credits.go what is learned and the credit that follows, servers.go the list. The sliding window and the fading rate are package gauge, which the pilots' ration of repeats counts with too.

--- a/api.go
+++ b/api.go
@@ -7,7 +7,7 @@
 
 // This file is the whole interface of the decision module: what it is told at
 // start (Settings), what it hears (Event) and what it answers (Action). The
-// decisions themselves are in balancer.go. All times are milliseconds.
+// decisions themselves are in balancer.go and the files beside it. All times are milliseconds.
 
 // Effect says how far a request of a class may be repeated.
 type Effect uint8
@@ -311,7 +311,7 @@
 
 // Export gives what was learned so far.
 func (b *Balancer) Export() Memory {
-	m := Memory{At: b.now, Typical: b.typical, Demand: b.arrivals.now(b.now), Sent: b.sends.now(b.now)}
+	m := Memory{At: b.now, Typical: b.typical, Demand: b.arrivals.Now(b.now, demandTime, demandLeast), Sent: b.sends.Now(b.now, demandTime, demandLeast)}
 	if b.serving > 0 {
 		m.Room = b.room / b.serving
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -6,9 +6,12 @@
 	"math"
 	"os"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 	"unicode/utf8"
+
+	"whinknot/internal/gauge"
 )
 
 // plain gives settings with one class of each effect, for one copy at the front.
@@ -140,7 +143,7 @@
 	set := plain()
 	h := start(t, set, ids(1)...)
 	h.b.room, h.b.roomAt = 1, math.Inf(1)
-	h.b.sends = average{20, h.now, 1}
+	h.b.sends = gauge.Of(20, h.now)
 	if acts := h.request(1, 0); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("first call: %+v", acts)
 	}
@@ -163,7 +166,7 @@
 
 func TestCheapCallsAreRefusedFirst(t *testing.T) {
 	h := start(t, plain(), ids(1)...)
-	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{60, h.now, 1}
+	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), gauge.Of(60, h.now)
 	h.request(1, 2)
 	for id := uint32(2); id < 5; id++ {
 		h.request(id, 2)
@@ -788,22 +791,35 @@
 	}
 }
 
-// The module is read aloud: its size and width are bounded.
+// The module is read aloud: its size, over all files that the deploy file names, and its width are bounded.
 func TestPolicySizeAndWidth(t *testing.T) {
-	text, err := os.ReadFile("balancer.go")
+	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
+	named := regexp.MustCompile(`(?m)^policy = \[(.*)\]$`).FindSubmatch(deploy)
+	if named == nil {
+		t.Fatal("deploy/balancer.toml names no policy")
+	}
+	var text []byte
 	lines := 0
-	for i, line := range bytes.Split(text, []byte("\n")) {
-		if len(bytes.TrimSpace(line)) > 0 {
-			lines++
-		}
-		wide := utf8.RuneCount(line) + 3*bytes.Count(line, []byte("\t"))
-		if wide > 110 {
-			t.Errorf("line %d is %d wide", i+1, wide)
+	for _, file := range strings.Split(string(named[1]), ", ") {
+		text, err = os.ReadFile(strings.Trim(file, `"`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, line := range bytes.Split(text, []byte("\n")) {
+			if len(bytes.TrimSpace(line)) > 0 {
+				lines++
+			}
+			if wide := utf8.RuneCount(line) + 3*bytes.Count(line, []byte("\t")); wide > 110 {
+				t.Errorf("%s: line %d is %d wide", file, i+1, wide)
+			}
 		}
 	}
+	if text, err = os.ReadFile("balancer.go"); err != nil {
+		t.Fatal(err)
+	}
 	if lines > 1200 {
 		t.Errorf("%d lines that are not blank, 1200 at most", lines)
 	}
@@ -858,7 +874,7 @@
 	if len(further) < 20 {
 		t.Errorf("only %d further attempts: the budget was not used", len(further))
 	}
-	if n := len(h.b.taken.times); n > 1200 {
+	if n := h.b.taken.Held(); n > 1200 {
 		t.Errorf("%d entries kept for a window that holds 270", n)
 	}
 }
@@ -1022,7 +1038,7 @@
 				}
 				h.b.learn(s, 0, out, took)
 				s.cut, s.run = false, 0
-				h.b.sends.add(h.now, 1)
+				h.b.sends.Add(h.now, 1, demandTime)
 				h.b.out = 40
 				if h.now >= h.b.roomAt {
 					h.b.reviseRoom()
@@ -1056,7 +1072,7 @@
 			took = 0.7 * h.b.silence // in time, yet seven times the least
 		}
 		h.b.learn(h.b.live[0], 0, OK, took)
-		h.b.sends.add(h.now, 1)
+		h.b.sends.Add(h.now, 1, demandTime)
 		if h.b.out = int(h.b.room); h.now >= h.b.roomAt {
 			h.b.reviseRoom()
 		}
@@ -1144,7 +1160,7 @@
 	if acts := h.request(1, 2); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("with a free server: %+v", acts)
 	}
-	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{20, h.now, 1}
+	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), gauge.Of(20, h.now)
 	if acts := h.request(2, 2); len(acts) != 0 {
 		t.Errorf("want the call to wait: %+v", acts)
 	}
@@ -1243,7 +1259,7 @@
 	entries[9].Started = 1000
 	h := start(t, plain(), entries...)
 	s := h.b.byID[entries[9].Server]
-	h.b.arrivals, h.b.sends = average{150, h.now, 1}, average{92, h.now, 1} // the list has 9.2 servers that serve
+	h.b.arrivals, h.b.sends = gauge.Of(150, h.now), gauge.Of(92, h.now) // the list has 9.2 servers that serve
 	h.b.measured, h.b.meanLoad = 1, 1e6
 	for _, age := range []float64{0, 5000, 19999} {
 		h.b.now = 1000 + age
@@ -1264,7 +1280,7 @@
 	entries[9].Started = 1000
 	h := start(t, plain(), entries...)
 	s := h.b.byID[entries[9].Server]
-	h.b.arrivals, h.b.sends = average{1000, h.now, 1}, average{92, h.now, 1}
+	h.b.arrivals, h.b.sends = gauge.Of(1000, h.now), gauge.Of(92, h.now)
 	h.b.measured, h.b.meanLoad = 1, 1e6
 	h.b.now = 1000
 	if got, want := h.b.loadOf(s), coldPart*10*0.2; math.Abs(got-want) > 1e-9 {
@@ -1274,7 +1290,7 @@
 		entries[i].Started = 1000 + float64(i)
 	}
 	h = start(t, plain(), entries...)
-	h.b.arrivals, h.b.sends = average{1000, h.now, 1}, average{1, h.now, 1}
+	h.b.arrivals, h.b.sends = gauge.Of(1000, h.now), gauge.Of(1, h.now)
 	h.b.measured, h.b.meanLoad = 1, 1e6
 	s = h.b.byID[entries[9].Server]
 	h.b.now = s.Started
@@ -1319,15 +1335,15 @@
 // would hold a tenth of what comes.
 func TestDemandOfTheFirstSeconds(t *testing.T) {
 	for _, rate := range []float64{2, 20, 200} {
-		a, now := average{}, 5000.0
+		a, now := gauge.Average{}, 5000.0
 		for range int(8 * rate) {
-			a.add(now, 1)
+			a.Add(now, 1, demandTime)
 			now += 1000 / rate
-			if got := a.rate(); now > 5000+max(500, 2000/rate) && (got < 0.7*rate || got > 1.6*rate) {
+			if got := a.Rate(demandLeast); now > 5000+max(500, 2000/rate) && (got < 0.7*rate || got > 1.6*rate) {
 				t.Errorf("%v a second: %v after %v ms", rate, got, now-5000)
 			}
 		}
-		if got := a.rate(); got < 0.9*rate || got > 1.3*rate {
+		if got := a.Rate(demandLeast); got < 0.9*rate || got > 1.3*rate {
 			t.Errorf("%v a second: %v in the end", rate, got)
 		}
 	}
@@ -1373,7 +1389,7 @@
 	set := plain()
 	set.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
 	h := start(t, set, ids(4)...)
-	h.b.room, h.b.roomAt, h.b.sends = 20, math.Inf(1), average{1000, h.now, 1}
+	h.b.room, h.b.roomAt, h.b.sends = 20, math.Inf(1), gauge.Of(1000, h.now)
 	h.b.out = 12
 	ask := func(id uint32, tenant uint16) []Action {
 		return h.do(Event{Kind: EvRequest, Request: id, Tenant: tenant, Due: h.now + 1000})
@@ -1416,8 +1432,8 @@
 	if len(h.b.byID) > 2000 || len(h.b.live) != 1000 || len(h.b.closing) > 2000 {
 		t.Errorf("%d servers known, %d live, %d to be closed", len(h.b.byID), len(h.b.live), len(h.b.closing))
 	}
-	if len(h.b.requests) != 0 || len(h.b.spare) > 100 || len(h.b.taken.times) > 20000 {
-		t.Errorf("%d calls held, %d spare, %d taken", len(h.b.requests), len(h.b.spare), len(h.b.taken.times))
+	if len(h.b.requests) != 0 || len(h.b.spare) > 100 || h.b.taken.Held() > 20000 {
+		t.Errorf("%d calls held, %d spare, %d taken", len(h.b.requests), len(h.b.spare), h.b.taken.Held())
 	}
 }
 
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -224,7 +224,15 @@
 				r.Request(now)
 				requests = append(requests, now)
 			}
-			asked, again := len(since(requests, now.Add(-window))), len(since(repeats, now.Add(-window)))
+			within := func(times []time.Time) (n int) {
+				for _, at := range times {
+					if !at.Before(now.Add(-window)) {
+						n++
+					}
+				}
+				return n
+			}
+			asked, again := within(requests), within(repeats)
 			if float64(again) > ratio*float64(asked)+slack {
 				t.Fatalf("%d repeats for %d requests", again, asked)
 			}
