Tell what the disk of a keeper holds while that does not run: keeper verify DIR

Need: an operator who stands before a machine that does not start asks what is on its disk. Change: the logbook is copied, opened and told: its name, set, entries, a torn end, what is spoilt; nothing there is changed, and faults give exit 1. Tests: a whole, a torn and a spoilt file.

--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -1,11 +1,15 @@
 package keeper
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -251,6 +255,46 @@
 	}
 }
 
+// What a disk holds can be read while its keeper is away, and reading it changes nothing; a spoilt file is told.
+func TestADiskCanBeVerified(t *testing.T) {
+	f := newFleet(t, 1)
+	f.until(0, Order{Kind: PutConfig, Body: config(5)}, 10*time.Second, done)
+	f.until(0, Order{Kind: BeginEvacuation, Zone: "z1"}, 10*time.Second, done)
+	f.stop(0)
+	path := filepath.Join(f.folder(0, 0), "logbook.db")
+	before, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text []byte) {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	torn := len("*3\r\n$3\r\nset\r\n")
+	write(append(slices.Clone(before), before[:torn]...))
+	c, err := Verify(f.folder(0, 0))
+	if err != nil || len(c.Faults) > 0 || len(c.Entries) != 2 || c.Disk != f.ip(0)+"#first" || c.Torn != int64(torn) {
+		t.Errorf("%v, %+v", err, c)
+	}
+	var page strings.Builder
+	c.Print(&page)
+	if !strings.Contains(page.String(), "evacuation/z1") || !strings.Contains(page.String(), f.ip(0)+"#first") {
+		t.Errorf("the page tells\n%s", page.String())
+	}
+	spoilt := bytes.Replace(before, []byte("a.example"), []byte("b.example"), 1)
+	write(spoilt)
+	if c, err = Verify(f.folder(0, 0)); err != nil || len(c.Faults) != 1 {
+		t.Errorf("spoilt: %v, %+v", err, c)
+	}
+	if after, _ := os.ReadFile(path); !bytes.Equal(after, spoilt) {
+		t.Error("looking at the disk has changed it")
+	}
+	if _, err := Verify(t.TempDir()); err == nil {
+		t.Error("a folder without a logbook is verified")
+	}
+}
+
 // counted waits until a keeper's present disk counts: the set at the others names it.
 func (f *fleet) counted(i int, within time.Duration) {
 	f.t.Helper()
--- a/internal/shore/asking.go
+++ b/internal/shore/asking.go
@@ -30,13 +30,18 @@
 			if err != nil {
 				return err
 			}
-			if !*asJSON {
-				answer.Print(os.Stdout)
-				return nil
-			}
-			out := json.NewEncoder(os.Stdout)
-			out.SetIndent("", "  ")
-			return out.Encode(answer)
+			return Answer(os.Stdout, answer, *asJSON)
 		},
 	}
 }
+
+// Answer writes an answer for people, or as JSON for programs.
+func Answer(w io.Writer, answer Printer, asJSON bool) error {
+	if !asJSON {
+		answer.Print(w)
+		return nil
+	}
+	out := json.NewEncoder(w)
+	out.SetIndent("", "  ")
+	return out.Encode(answer)
+}
