Invite a body within its own time, bound the asking, and answer what is left before the end

The pilots' connection had been used more than three seconds before, and the word that a body is taken was written with the deadline of the answer before: it was never sent, and both sides waited. Every upload over a connection that had rested so long hung till its deadline.

Change: the word has its own deadline (so has the sidecar's, to clients that ask first); a gate that does not say it within its patience and half a second has not been asked, and the request goes elsewhere; 0.2 s before a pilot that leaves cuts what is left, all of it is given an answer. Test: an expired deadline and a mute peer; it fails without the first.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -34,12 +34,13 @@
 	pilotIdle     = 15 * time.Second
 	topWorth      = 4.0
 	leastPatience = 60 * time.Millisecond
-	deadlinePart  = 0.7     // of its route's deadline is what the module takes for a request's aim at least: a late answer earns something too
-	leastRoom     = 5       // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
-	nearLooks     = 5       // endpoints of the own zone that a request is shown to: at all but the last it does not wait, one may be free
-	asksFrom      = 8 << 10 // bytes of a body that is not sent before the gate has let the request in
-	senders       = 1       // copies that the module takes to send: the gates count exactly, and none need keep to its part of a server
-	manyStreams   = 1024    // connections between pilots are opened as they are needed: the gate counts those to endpoints
+	deadlinePart  = 0.7                    // of its route's deadline is what the module takes for a request's aim at least: a late answer earns something too
+	leastRoom     = 5                      // calls out at once for each endpoint that a pilot always lets out: the gates know how many are too many
+	nearLooks     = 5                      // endpoints of the own zone that a request is shown to: at all but the last it does not wait, one may be free
+	asksTime      = 500 * time.Millisecond // beyond its patience, for the word of the gate to come
+	asksFrom      = 8 << 10                // bytes of a body that is not sent before the gate has let the request in
+	senders       = 1                      // copies that the module takes to send: the gates count exactly, and none need keep to its part of a server
+	manyStreams   = 1024                   // connections between pilots are opened as they are needed: the gate counts those to endpoints
 )
 
 // fairway is the way to one service: its decision module, and the endpoints that it is told of.
@@ -159,6 +160,18 @@
 	}
 }
 
+// giveUp has everything answered that is under way.
+func (f *fairway) giveUp() {
+	f.mu.Lock()
+	ways := f.ways
+	f.mu.Unlock()
+	for _, w := range ways {
+		if w.service != nil {
+			w.service.GiveUp()
+		}
+	}
+}
+
 // end ends the service; what it still has is answered.
 func (f *fairway) end() {
 	f.mu.Lock()
@@ -419,7 +432,10 @@
 			bare: t.e.Method == http.MethodGet, head: func(b *bytes.Buffer) { t.head(b, x.Server) },
 		})
 	} else {
-		asks := len(t.e.Body) >= asksFrom
+		asks := time.Duration(0)
+		if len(t.e.Body) >= asksFrom {
+			asks = patience + asksTime
+		}
 		fate, r := x.Over(&sidecar.Hop{
 			Body: t.e.Body, Bare: t.e.Method == http.MethodGet, Most: mostBody, Asks: asks,
 			Head: func(left time.Duration) []byte {
@@ -433,7 +449,7 @@
 				if t.r.Kind != chart.Safe {
 					sidecar.WriteLine(&b, onceHeader, "1")
 				}
-				if asks {
+				if asks > 0 {
 					sidecar.WriteLine(&b, asksHeader, "1")
 				}
 				if stays {
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -36,6 +36,7 @@
 	keepMissing = 5 * time.Second        // a node that no lighthouse names any more is kept for so long
 	finishTime  = 200 * time.Millisecond // for calls of the endpoint under way at the end
 	endBefore   = 600 * time.Millisecond // SIGKILL comes so long after what is left is cut
+	answerTime  = 200 * time.Millisecond // before that, everything that has no answer yet is given one of our own
 	// From SIGTERM on clients find this pilot not ready, twice before they stop to come, and until then it serves as always.
 	// Then other pilots hear that it leaves, and a little later it takes nothing more.
 	acceptTime = 2600 * time.Millisecond
@@ -175,19 +176,30 @@
 	})
 	defer say.Stop()
 	p.quay.leave(begun.Add(max(accept-shutBefore, 0)))
+	giveUp := time.AfterFunc(max(last-answerTime, 0), func() {
+		for _, f := range p.fairways() {
+			f.giveUp()
+		}
+	})
+	defer giveUp.Stop()
 	var both sync.WaitGroup
 	both.Go(func() { p.outbound.Drain(accept, last) })
 	both.Go(func() { p.inbound.Drain(accept, last) })
 	both.Wait()
 	var services sync.WaitGroup
-	known, _ := shore.Ask(p.loop, func() []*fairway { return slices.Collect(maps.Values(p.fairway)) })
-	for _, f := range known {
+	for _, f := range p.fairways() {
 		services.Go(f.end)
 	}
 	services.Wait()
 	p.quay.wharf.Close()
 }
 
+// fairways are the ways to all services that there were.
+func (p *Pilot) fairways() []*fairway {
+	known, _ := shore.Ask(p.loop, func() []*fairway { return slices.Collect(maps.Values(p.fairway)) })
+	return known
+}
+
 // Changed takes settings that were read again.
 func (p *Pilot) Changed(s *berth.Settings) {
 	p.target.Store(&s.Target)
--- a/internal/sidecar/asks_test.go
+++ b/internal/sidecar/asks_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -35,9 +36,14 @@
 	w.Moor(port.Addr().String(), 1)
 	hop := &Hop{
 		Head: func(time.Duration) []byte { return []byte("POST / HTTP/1.1\r\nHost: a\r\n") },
-		Body: []byte(strings.Repeat("x", 200_000)), Most: 1 << 20, Asks: true,
+		Body: []byte(strings.Repeat("x", 200_000)), Most: 1 << 20, Asks: time.Minute,
 	}
 	for i := range 6 {
+		port.front.callers.mu.Lock()
+		for c := range port.front.callers.all { // the time that the answer before had is over
+			c.SetWriteDeadline(time.Unix(1, 0))
+		}
+		port.front.callers.mu.Unlock()
 		fate, r := w.Cross(t.Context(), hop, time.Now().Add(time.Minute))
 		if want := []string{"200 200000", "503 "}[i%2]; fate != Whole || fmt.Sprintf("%d %s", r.Status, r.Body) != want {
 			t.Fatalf("crossing %d: fate %d, %+v, want %s", i, fate, r, want)
@@ -47,6 +53,17 @@
 		t.Errorf("%d connections", w.up.open)
 	}
 	port.Close()
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Moor(mute.Addr().String(), 2)
+	soon := *hop
+	soon.Asks = 10 * time.Millisecond
+	if fate, _ := w.Cross(t.Context(), &soon, time.Now().Add(time.Minute)); fate != NeverWritten {
+		t.Errorf("one that says nothing: fate %d", fate)
+	}
+	mute.Close()
 	if fate, _ := w.Cross(t.Context(), hop, time.Now().Add(time.Minute)); fate != NeverWritten {
 		t.Errorf("with nobody there: fate %d", fate)
 	}
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -199,6 +199,13 @@
 	cs.most = most
 }
 
+// invite tells a caller that asked first to send its body.
+func (c *caller) invite() error {
+	c.SetWriteDeadline(time.Now().Add(writeTime)) // that of the answer before may be over
+	_, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
 // answer writes a final answer. The length goes first, so that a body that breaks off shows.
 func (c *caller) answer(a *answer, last bool) error {
 	length := int64(len(a.body))
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -128,7 +128,7 @@
 	}
 	k := t.call
 	if waits {
-		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // one that fails shows in the body
+		c.invite() // one that fails shows in the body
 	}
 	var err error
 	c.idle, c.by = f.quiet, time.Now().Add(f.quiet+time.Duration(max(m.length, 0))*time.Second/slowest)
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -31,10 +31,10 @@
 type hop struct {
 	head func(left time.Duration) []byte // lines without the length and the empty line
 	body []byte
-	get  bool   // no length is told for an empty body
-	id   string // answers name it in X-Attempt-Id; what names another belongs to another request; "" for any
-	most int64  // bytes of an answer's body
-	asks bool   // the body follows once the server has said that it takes it
+	get  bool          // no length is told for an empty body
+	id   string        // answers name it in X-Attempt-Id; what names another belongs to another request; "" for any
+	most int64         // bytes of an answer's body
+	asks time.Duration // the body follows once the server has said that it takes it, within this time; 0 for at once
 }
 
 const strayAnswers = 4 // of other requests that are passed over before the wanted one
@@ -104,7 +104,7 @@
 	if len(h.body) > 0 || !h.get {
 		writeNumber(&text, "Content-Length", int64(len(h.body)))
 	}
-	if h.asks {
+	if h.asks > 0 {
 		text.WriteString("Expect: 100-continue\r\n")
 	}
 	text.WriteString("\r\n")
@@ -112,8 +112,8 @@
 		return NeverWritten, nil, true
 	}
 	next := readAnswerHead
-	if h.asks {
-		no, err := askFirst(c, text.Bytes())
+	if h.asks > 0 {
+		no, err := askFirst(c, text.Bytes(), h.asks, until)
 		if err != nil {
 			return fateOf(brokenOff(a, err, whinknot.ConnectFailed)), nil, false
 		}
@@ -165,10 +165,15 @@
 }
 
 // askFirst writes a head and waits for the word that the body is taken. If the answer comes instead, no gives its head.
-func askFirst(c *conn, head []byte) (no func(*bufio.Reader) (int, message, error), err error) {
+// What does not come within a time has not been asked for.
+func askFirst(c *conn, head []byte, within time.Duration, until time.Time) (no func(*bufio.Reader) (int, message, error), err error) {
 	if _, err := c.Write(head); err != nil {
 		return nil, err
 	}
+	if by := time.Now().Add(within); by.Before(until) {
+		c.SetReadDeadline(by)
+		defer c.SetReadDeadline(until)
+	}
 	m, err := readMessage(c.reader)
 	if err != nil {
 		return nil, err
@@ -204,11 +209,17 @@
 	Bare bool   // an empty body has no length told
 	ID   string // the peer's answer names it in X-Attempt-Id; "" for any
 	Most int64  // bytes of the answer's body
-	Asks bool   // the body follows only once the peer has said that it takes it; if not, nothing has run
+	// Asks is how long to wait for the peer's word that it takes the body, which is sent only then: without it nothing has run. 0 for not
+	// to ask.
+	Asks time.Duration
 }
 
 func (h *Hop) hop() *hop {
-	return &hop{head: h.Head, body: h.Body, get: h.Bare, id: h.ID, most: h.Most, asks: h.Asks && len(h.Body) > 0}
+	out := &hop{head: h.Head, body: h.Body, get: h.Bare, id: h.ID, most: h.Most}
+	if len(h.Body) > 0 {
+		out.asks = h.Asks
+	}
+	return out
 }
 
 // Wharf holds the connections to one server that can change its address.
@@ -390,6 +401,9 @@
 	return m
 }
 
+// GiveUp gives every request of the service its final answer at once: a refusal to what has not run and never will.
+func (s *Service) GiveUp() { s.loop.ask(s.loop.giveUpAll) }
+
 // Retire ends the service once it has no request left, at a time, or with ctx; it returns then.
 func (s *Service) Retire(ctx context.Context, by time.Time) {
 	done := make(chan struct{})
--- a/internal/sidecar/port.go
+++ b/internal/sidecar/port.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -15,7 +14,7 @@
 // byServer deals with a request that a server answers, and tells whether its connection goes on.
 func (f *front) byServer(c *caller, m *message, t *taken, waits bool, lasts *bool) bool {
 	if waits {
-		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // one that fails shows in the body
+		c.invite() // one that fails shows in the body
 	}
 	c.idle, c.by = f.quiet, time.Now().Add(f.quiet+time.Duration(max(m.length, 0))*time.Second/slowest)
 	body, err := readWhole(c.reader, m.length, t.most)
