Tell lighthouses of everything that was settled together

Cause, found by reading: what keepers found settled by their digests was told key by key, so for a moment a part of it. Change: all at once. Property test of cold endpoints also for requests that wait and for bodies that come later.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -351,9 +351,7 @@
 	if !k.set.Reached(same) {
 		return
 	}
-	for _, e := range k.copy.All() {
-		k.settle(e.Key, e.Stamp)
-	}
+	k.settle(k.copy.All()...)
 }
 
 // compare has a peer tell what it holds in the ranges that differ, and tells it in turn.
@@ -381,10 +379,15 @@
 	return out
 }
 
-// settle notes that a majority holds a version.
-func (k *Keeper) settle(key string, s tide.Stamp) {
-	if old, ok := k.settled[key]; !ok || s.Compare(old) > 0 {
-		k.settled[key] = s
+// settle notes that a majority holds some versions, and tells lighthouses of all of them together.
+func (k *Keeper) settle(held ...tide.Entry) {
+	changed := false
+	for _, e := range held {
+		if old, ok := k.settled[e.Key]; !ok || e.Stamp.Compare(old) > 0 {
+			k.settled[e.Key], changed = e.Stamp, true
+		}
+	}
+	if changed {
 		k.settles++
 		k.tell()
 	}
@@ -468,11 +471,13 @@
 		t.From = tide.Member{}
 	}
 	t.Differs = a.Digest != 0 && a.Digest != k.copy.Digest()
+	var settled []tide.Entry
 	for _, h := range a.Settled {
 		if e, ok := k.copy.Get(h.Key); ok && e.Stamp.Compare(h.Stamp) == 0 {
-			k.settle(h.Key, h.Stamp)
+			settled = append(settled, e)
 		}
 	}
+	k.settle(settled...)
 	if len(a.Offer) > 0 {
 		t.Stored = k.mend(a.Offer) == nil
 		for _, e := range a.Offer {
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -241,7 +241,7 @@
 		}
 		switch {
 		case ok:
-			k.settle(e.Key, e.Stamp)
+			k.settle(e)
 			k.spread()
 			then(&Result{Status: Done})
 		case newer && time.Now().Before(by):
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -286,3 +286,56 @@
 		t.Fatalf("next %v after %v", out, at.Sub(start))
 	}
 }
+
+// The same holds for those that wait at a cold endpoint, and for those whose body comes later than they were let in.
+func TestAColdEndpointGetsItsShareOfThoseThatWaitToo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{WarmupRate: rapid.Float64Range(1, 30).Draw(t, "rate"), WarmupExcess: 1.5, WarmupSlack: 5}
+		g := gate(b)
+		g.Said(start, 1000, time.Hour)
+		now := start
+		var reached []time.Time
+		var bodies []*Ticket
+		in := func(ticket *Ticket, later bool) {
+			if later {
+				bodies = append(bodies, ticket)
+				return
+			}
+			reached = append(reached, now)
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "ms")) * time.Millisecond)
+			later := rapid.Bool().Draw(t, "body later")
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				wait := time.Duration(rapid.IntRange(0, 900).Draw(t, "wait")) * time.Millisecond
+				if ticket, v := g.Ask(now, Ask{Life: "life", Stays: true, Once: later, Until: now.Add(wait)}); v == Pass {
+					in(ticket, later)
+				}
+			case 1:
+				out, _ := g.Next(now)
+				for _, d := range out {
+					if d.Verdict == Pass {
+						in(d.Ticket, later)
+					}
+				}
+			case 2:
+				if len(bodies) > 0 {
+					if g.Goes(now, bodies[0]) == Pass {
+						reached = append(reached, now)
+					}
+					bodies = bodies[1:]
+				}
+			}
+			n := 0
+			for _, at := range reached {
+				if now.Sub(at) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > b.WarmupRate*b.WarmupExcess+b.WarmupSlack {
+				t.Fatalf("%d within a second, the bound is %v", n, b.WarmupRate*b.WarmupExcess+b.WarmupSlack)
+			}
+		}
+	})
+}
