Have one piece of code hold connections, say who takes requests, and end what modules do

A lighthouse's ports are read once, no longer by the loop that follows. No behaviour is changed.

Result: the tests of the mesh's packages and programs pass.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -52,6 +52,11 @@
 	Dark bool
 }
 
+// Takes tells whether requests may be sent to its endpoint, by what it and its pilot say.
+func (k *Known) Takes() bool {
+	return k.Endpoint != nil && k.Endpoint.State == Serving && !k.Leaving && !k.Dark
+}
+
 // Limits are the ages at which a pilot counts as dark, and at which it is forgotten.
 type Limits struct{ Dark, Forget time.Duration }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -209,29 +209,17 @@
 
 // follow holds a connection to a peer.
 func (k *Keeper) follow(p *peer) {
-	pause := signal.Pause{First: firstPause, Most: pulse}
-	for k.ctx.Err() == nil {
-		conn, err := signal.Dial(k.ctx, p.addr, silence)
-		if err == nil {
-			hello := Hello{Keeper: &k.me}
-			if err = conn.Send(&hello); err == nil {
-				pause.Reset()
-				k.loop.Post(func() { p.conn, p.knows, p.told, p.set, p.same = conn, false, 0, 0, 0; k.look(p) })
-				for err == nil {
-					var t Tell
-					if err = conn.Receive(&t); err == nil {
-						k.loop.Post(func() { k.told(p, &t) })
-					}
-				}
+	signal.Hold(k.ctx, p.addr, silence, signal.Pause{First: firstPause, Most: pulse}, &Hello{Keeper: &k.me}, func(conn *signal.Conn) {
+		k.loop.Post(func() { p.conn, p.knows, p.told, p.set, p.same = conn, false, 0, 0, 0; k.look(p) })
+		defer k.loop.Post(func() { k.lost(p, conn) })
+		for {
+			var t Tell
+			if conn.Receive(&t) != nil {
+				return
 			}
-			conn.Close()
-			k.loop.Post(func() { k.lost(p, conn) })
+			k.loop.Post(func() { k.told(p, &t) })
 		}
-		select {
-		case <-k.ctx.Done():
-		case <-time.After(pause.Next()):
-		}
-	}
+	})
 }
 
 // lost notes that a connection ended: what was asked over it has no answer.
@@ -254,9 +242,9 @@
 		return
 	}
 	p.lastID++
-	a.ID, a.From, a.Set = p.lastID, k.me, k.set
-	if p.knows {
-		a.From = tide.Member{}
+	a.ID, a.Set = p.lastID, k.set
+	if !p.knows {
+		a.From = k.me
 	}
 	if p.set >= k.set.Number {
 		a.Set = tide.Set{Number: k.set.Number}
@@ -462,13 +450,13 @@
 // answer answers an ask.
 func (k *Keeper) answer(a *Ask) *Tell {
 	k.adopt(&a.Set)
-	t := &Tell{ID: a.ID, From: k.me, Behind: a.Set.Number < k.set.Number}
+	t := &Tell{ID: a.ID, Behind: a.Set.Number < k.set.Number}
 	t.Set = tide.Set{Number: k.set.Number}
 	if t.Behind {
 		t.Set = k.set
 	}
-	if a.From.Addr == "" {
-		t.From = tide.Member{}
+	if a.From.Addr != "" {
+		t.From = k.me
 	}
 	t.Differs = a.Digest != 0 && a.Digest != k.copy.Digest()
 	var settled []tide.Entry
--- a/internal/keeper/talk.go
+++ b/internal/keeper/talk.go
@@ -12,7 +12,7 @@
 // Ask is what one keeper asks of another.
 type Ask struct {
 	ID      uint64
-	From    tide.Member  // whole in the first ask of a connection, then its disk alone
+	From    tide.Member  // in the first ask of a connection alone
 	Set     tide.Set     // that the asker goes by; its members only if the other may not know them
 	Settled []Held       // what the asker knows a majority to hold, as far as the other has not been told
 	Offer   []tide.Entry // to be held
@@ -32,7 +32,7 @@
 // Tell is the answer to an Ask.
 type Tell struct {
 	ID      uint64
-	From    tide.Member  // as in the ask
+	From    tide.Member  // as in the ask: to one that says who it is
 	Set     tide.Set     // its members only if the asker goes by an older one
 	Differs bool         // this one's digest of everything is another
 	Behind  bool         // the asker goes by an older set: nothing of this counts
--- a/internal/lighthouse/council.go
+++ b/internal/lighthouse/council.go
@@ -58,7 +58,7 @@
 	for _, k := range c.l.registry.All() {
 		if e := k.Endpoint; e != nil && e.State != beacon.Gone {
 			out = append(out, muster.Host{
-				Life: e.ID, Service: e.Target, Zone: k.Zone, Serving: e.State == beacon.Serving && !k.Dark && !k.Leaving,
+				Life: e.ID, Service: e.Target, Zone: k.Zone, Serving: k.Takes(),
 			})
 		}
 	}
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -173,33 +173,22 @@
 // follow holds a connection to another lighthouse: what it says is heard over the one that it holds to this one.
 func (l *Lighthouse) follow(ip string) {
 	pause := signal.Pause{First: firstPause, Most: pulse}
-	for l.ctx.Err() == nil {
-		conn, err := signal.Dial(l.ctx, Address(ip, l.s), silence)
-		if err == nil {
-			k := &link{out: signal.NewOutbox(conn, queue), node: ip}
-			if conn.Send(&lamp.Hello{Lighthouse: l.s.IP, Zone: l.s.Zone}) == nil {
-				pause.Reset()
-				l.loop.Post(func() {
-					l.sisters[ip], l.core[ip].at = k, time.Now()
-					l.say(k, l.wholeAcross())
-				})
-				l.running.Go(k.out.Run)
-				var up lamp.Up
-				for conn.Receive(&up) == nil { // only to hear that it is there
-				}
-			}
-			conn.Close()
-			l.loop.Post(func() {
-				if l.sisters[ip] == k {
-					l.sisters[ip] = nil
-				}
-			})
-		}
-		select {
-		case <-l.ctx.Done():
-		case <-time.After(pause.Next()):
+	signal.Hold(l.ctx, Address(ip, l.s), silence, pause, &lamp.Hello{Lighthouse: l.s.IP, Zone: l.s.Zone}, func(conn *signal.Conn) {
+		k := &link{out: signal.NewOutbox(conn, queue), node: ip}
+		l.loop.Post(func() {
+			l.sisters[ip], l.core[ip].at = k, time.Now()
+			l.say(k, l.wholeAcross())
+		})
+		l.running.Go(k.out.Run)
+		var up lamp.Up
+		for conn.Receive(&up) == nil { // only to hear that it is there
 		}
-	}
+		l.loop.Post(func() {
+			if l.sisters[ip] == k {
+				l.sisters[ip] = nil
+			}
+		})
+	})
 }
 
 // say tells a link; one that does not take it is cut off, and comes again.
--- a/internal/lighthouse/place.go
+++ b/internal/lighthouse/place.go
@@ -11,7 +11,6 @@
 
 	"github.com/joomcode/errorx"
 
-	"whinknot/internal/beacon"
 	"whinknot/internal/moorings"
 )
 
@@ -35,7 +34,7 @@
 	var nodes []moorings.Node
 	for _, p := range s.Pilots {
 		e := p.Endpoint
-		if e == nil || e.Target != service || e.State != beacon.Serving || p.Dark || p.Leaving || out[e.ID] || out["zone "+p.Zone] {
+		if !p.Takes() || e.Target != service || out[e.ID] || out["zone "+p.Zone] {
 			continue
 		}
 		nodes = append(nodes, moorings.Node{Name: e.ID, Weight: e.Capacity})
--- a/internal/lighthouse/store.go
+++ b/internal/lighthouse/store.go
@@ -29,29 +29,18 @@
 func (s *store) follow() {
 	l := s.l
 	pause := signal.Pause{First: firstPause, Most: pulse / 4}
-	for l.ctx.Err() == nil {
-		conn, err := signal.Dial(l.ctx, keeper.Address(l.s.IP, l.s), silence)
-		if err == nil {
-			if conn.Send(&keeper.Hello{Lighthouse: l.s.Node}) == nil {
-				pause.Reset()
-				l.loop.Post(func() { s.conn = conn })
-				l.running.Go(func() { conn.Beat(storeBeat, &keeper.Order{Kind: keeper.Beat}) })
-				for {
-					var w keeper.Word
-					if conn.Receive(&w) != nil {
-						break
-					}
-					l.loop.Post(func() { s.heard(&w) })
-				}
+	signal.Hold(l.ctx, keeper.Address(l.s.IP, l.s), silence, pause, &keeper.Hello{Lighthouse: l.s.Node}, func(conn *signal.Conn) {
+		l.loop.Post(func() { s.conn = conn })
+		defer l.loop.Post(s.lost)
+		l.running.Go(func() { conn.Beat(storeBeat, &keeper.Order{Kind: keeper.Beat}) })
+		for {
+			var w keeper.Word
+			if conn.Receive(&w) != nil {
+				return
 			}
-			conn.Close()
-			l.loop.Post(s.lost)
+			l.loop.Post(func() { s.heard(&w) })
 		}
-		select {
-		case <-l.ctx.Done():
-		case <-time.After(pause.Next()):
-		}
-	}
+	})
 }
 
 // heard takes a word of the keeper.
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -58,6 +58,19 @@
 	})
 }
 
+// withinTheRule fails if more reached a cold endpoint in the last second than the rule allows.
+func withinTheRule(t *rapid.T, b Bounds, reached []time.Time, now time.Time) {
+	n := 0
+	for _, at := range reached {
+		if now.Sub(at) < time.Second {
+			n++
+		}
+	}
+	if float64(n) > b.WarmupRate*b.WarmupExcess+b.WarmupSlack {
+		t.Fatalf("%d within a second, the bound is %v", n, b.WarmupRate*b.WarmupExcess+b.WarmupSlack)
+	}
+}
+
 // Whenever requests come and whenever the pilot is started anew: a cold endpoint gets no more within any second than the rule
 // allows.
 func TestAColdEndpointGetsItsShareOfAnySecond(t *testing.T) {
@@ -79,15 +92,7 @@
 			if ask(g, now) == Pass {
 				passed = append(passed, now)
 			}
-			n := 0
-			for _, p := range passed {
-				if now.Sub(p) < time.Second {
-					n++
-				}
-			}
-			if float64(n) > b.WarmupRate*b.WarmupExcess+b.WarmupSlack {
-				t.Fatalf("%d within a second, the bound is %v", n, b.WarmupRate*b.WarmupExcess+b.WarmupSlack)
-			}
+			withinTheRule(t, b, passed, now)
 		}
 	})
 }
@@ -327,15 +332,7 @@
 					bodies = bodies[1:]
 				}
 			}
-			n := 0
-			for _, at := range reached {
-				if now.Sub(at) < time.Second {
-					n++
-				}
-			}
-			if float64(n) > b.WarmupRate*b.WarmupExcess+b.WarmupSlack {
-				t.Fatalf("%d within a second, the bound is %v", n, b.WarmupRate*b.WarmupExcess+b.WarmupSlack)
-			}
+			withinTheRule(t, b, reached, now)
 		}
 	})
 }
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -162,24 +162,22 @@
 
 // giveUp has everything answered that is under way.
 func (f *fairway) giveUp() {
-	f.mu.Lock()
-	ways := f.ways
-	f.mu.Unlock()
-	for _, w := range ways {
-		if w.service != nil {
-			w.service.GiveUp()
-		}
-	}
+	f.each((*sidecar.Service).GiveUp)
 }
 
 // end ends the service; what it still has is answered.
 func (f *fairway) end() {
+	f.each(func(s *sidecar.Service) { s.Retire(f.p.ctx, time.Now()) })
+}
+
+// each does something with every module there is.
+func (f *fairway) each(do func(*sidecar.Service)) {
 	f.mu.Lock()
 	ways := f.ways
 	f.mu.Unlock()
 	for _, w := range ways {
 		if w.service != nil {
-			w.service.Retire(f.p.ctx, time.Now())
+			do(w.service)
 		}
 	}
 }
@@ -227,7 +225,7 @@
 		}
 		lives[e.ID] = abode{own: n.Node == p.s.Node, near: n.Zone == p.s.Zone}
 		b := sidecar.Berth{Name: e.ID, Addr: n.Inbound, Zone: n.Zone}
-		b.Draining = e.State == beacon.Draining || n.Leaving || n.Dark || p.room.Evacuated(n.Zone) || !p.shunned[e.ID].IsZero()
+		b.Draining = !n.Takes() || p.room.Evacuated(n.Zone) || !p.shunned[e.ID].IsZero()
 		if r, ok := p.room.Removal(e.ID); ok && !r.Back {
 			b.Draining = true
 		}
@@ -276,14 +274,19 @@
 	return h.p.bulk.take(e, v.chart.Limits.MaxBody)
 }
 
-// awaitChart waits for the first configuration, for a small part of the time that a request has: a pilot that has just started gets
-// it in a moment.
-func (p *Pilot) awaitChart(e *sidecar.Errand) *view {
+// timeOf is the time that a request had when it came.
+func timeOf(e *sidecar.Errand) time.Duration {
 	left, told, _ := sidecar.Deadline(e.Header, deadlineHeader)
 	if !told {
-		left = usualTime
+		return usualTime
 	}
-	timer := time.NewTimer(min(time.Duration(chartPart*float64(left)), chartMost))
+	return left
+}
+
+// awaitChart waits for the first configuration, for a small part of the time that a request has: a pilot that has just started gets
+// it in a moment.
+func (p *Pilot) awaitChart(e *sidecar.Errand) *view {
+	timer := time.NewTimer(min(time.Duration(chartPart*float64(timeOf(e))), chartMost))
 	defer timer.Stop()
 	select {
 	case <-p.charted:
@@ -315,11 +318,7 @@
 // serve has one request served.
 func (f *fairway) serve(ctx context.Context, e *sidecar.Errand, r *chart.Route) sidecar.Reply {
 	now := time.Now()
-	left, told, _ := sidecar.Deadline(e.Header, deadlineHeader)
-	if !told {
-		left = usualTime
-	}
-	due := e.Came.Add(left)
+	due := e.Came.Add(timeOf(e))
 	if by := e.Came.Add(r.Deadline); r.Deadline > 0 && by.Before(due) {
 		due = by
 	}
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -431,6 +431,7 @@
 func (q *quay) leaves(t *pier.Ticket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	delete(q.waiting, t)
 	q.gate.Leaves(t)
 	q.decideLocked()
 }
@@ -503,11 +504,7 @@
 		select {
 		case v = <-verdict:
 		case <-ctx.Done():
-			q.mu.Lock()
-			delete(q.waiting, t)
-			q.gate.Leaves(t)
-			q.decideLocked()
-			q.mu.Unlock()
+			q.leaves(t)
 			return nil, wordNever
 		}
 	}
--- a/internal/signal/pause.go
+++ b/internal/signal/pause.go
@@ -1,6 +1,7 @@
 package signal
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -22,3 +23,21 @@
 
 // Reset says that the peer was reached.
 func (p *Pause) Reset() { p.next = 0 }
+
+// Hold holds a connection to a peer until ctx ends: it dials, says hello, and has the connection used until that returns; then, or if it
+// cannot be reached, again after a pause.
+func Hold(ctx context.Context, addr string, silence time.Duration, pause Pause, hello any, use func(*Conn)) {
+	for ctx.Err() == nil {
+		if conn, err := Dial(ctx, addr, silence); err == nil {
+			if conn.Send(hello) == nil {
+				pause.Reset()
+				use(conn)
+			}
+			conn.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.Next()):
+		}
+	}
+}
