--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"net/textproto"
 	"slices"
 	"strconv"
@@ -148,7 +147,7 @@
 		return nil, errTooLong
 	}
 	if length == chunked {
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), most+1))
+		body, err := io.ReadAll(io.LimitReader(newChunkReader(r), most+1))
 		if err == nil && int64(len(body)) > most {
 			err = errTooLong
 		}
@@ -182,22 +181,28 @@
 		if m, err = readMessage(r); err != nil {
 			return 0, m, err
 		}
-		version, rest, _ := strings.Cut(m.first, " ")
-		code, _, _ := strings.Cut(rest, " ")
-		status, err = strconv.Atoi(code)
-		switch {
-		case err != nil || len(code) != 3 || version != "HTTP/1.1" && version != "HTTP/1.0":
-			return 0, m, errHead
-		case status < 100 || status == http.StatusSwitchingProtocols:
-			return 0, m, errHead
-		case status < 200:
-			continue
+		if status, err = m.status(); err != nil {
+			return 0, m, err
+		}
+		if status >= http.StatusOK {
+			return status, m, nil
 		}
-		return status, m, nil
 	}
 	return 0, m, errTooLong
 }
 
+// status reads the status of an answer's head.
+func (m *message) status() (int, error) {
+	version, rest, _ := strings.Cut(m.first, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	bad := err != nil || len(code) != 3 || version != "HTTP/1.1" && version != "HTTP/1.0"
+	if bad || status < http.StatusContinue || status == http.StatusSwitchingProtocols {
+		return 0, errHead
+	}
+	return status, nil
+}
+
 // lasts tells whether the peer keeps the connection open behind this message.
 func (m *message) lasts() bool {
 	return !strings.Contains(m.first, "HTTP/1.0") && !m.lists("Connection", "close")
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -178,13 +178,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if strings.HasPrefix(m.first, "HTTP/1.1 100 ") {
+	status, err := m.status()
+	switch {
+	case err != nil:
+		return nil, err
+	case status == http.StatusContinue:
 		return nil, nil
-	}
-	_, rest, _ := strings.Cut(m.first, " ")
-	code, _, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil || status < http.StatusOK {
+	case status < http.StatusOK:
 		return nil, errHead
 	}
 	return func(*bufio.Reader) (int, message, error) { return status, m, nil }, nil
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"os"
 	"sync"
 	"time"
@@ -125,7 +124,7 @@
 	lines *bufio.Reader
 }
 
-func newTrailed(r *bufio.Reader) *trailed { return &trailed{httputil.NewChunkedReader(r), r} }
+func newTrailed(r *bufio.Reader) *trailed { return &trailed{newChunkReader(r), r} }
 
 func (t *trailed) Read(p []byte) (int, error) {
 	n, err := t.body.Read(p)
@@ -260,7 +259,7 @@
 	}
 	body := to
 	if up.length == chunked {
-		body = httputil.NewChunkedWriter(to)
+		body = &chunkWriter{to}
 	}
 	if len(first) > 0 {
 		if _, err := body.Write(first); err != nil {
@@ -334,7 +333,7 @@
 	body := io.Writer(c.Conn)
 	_, err := c.Write(head.Bytes())
 	if a.length == chunked {
-		body = httputil.NewChunkedWriter(c.Conn)
+		body = &chunkWriter{c.Conn}
 	}
 	if err == nil && len(a.body) > 0 {
 		_, err = body.Write(a.body)
