Say in a keeper's word which beat it answers, its lease, and the epoch of its set

Cause: a lighthouse cannot tell how old the word of its keeper is: it may have waited in a socket while the machine was frozen or cut off. Change: a word that answers a beat names it and what is left of the keeper's lease; what is in force names the epoch of the set by which it is known. Measured: go test ./internal/keeper passes; nothing else is changed by it yet.

--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -29,7 +29,8 @@
 			return
 		}
 		if o.Kind == Beat {
-			k.loop.Post(func() { b.Say(&Word{}) })
+			id := o.ID
+			k.loop.Post(func() { b.Say(&Word{Beat: id, Lease: k.lease(time.Now())}) })
 			continue
 		}
 		k.loop.Post(func() {
@@ -44,7 +45,7 @@
 // inForce is what a majority is known to hold. For a while after its start a keeper tells all of that or nothing: who heard of a
 // configuration without the evacuations that go with it would send into a zone that is to get nothing.
 func (k *Keeper) inForce() *InForce {
-	f := &InForce{Settled: k.inSight()}
+	f := &InForce{Settled: k.lease(time.Now()) > 0, Epoch: k.set.Number}
 	for _, e := range k.copy.All() {
 		s, ok := k.settled[e.Key]
 		if !ok || s.Compare(e.Stamp) != 0 {
@@ -80,6 +81,14 @@
 	return k.set.Reached(seen)
 }
 
+// lease is how much longer what this keeper told is in force.
+func (k *Keeper) lease(now time.Time) time.Duration {
+	if !k.inSight() {
+		return 0
+	}
+	return silence
+}
+
 // core are the keepers known, this one among them.
 func (k *Keeper) core() []tide.Member {
 	out := []tide.Member{k.me}
--- a/internal/keeper/talk.go
+++ b/internal/keeper/talk.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"time"
 
 	"whinknot/internal/helm"
 	"whinknot/internal/muster"
@@ -106,6 +107,8 @@
 	Result  *Result
 	InForce *InForce
 	Core    []tide.Member // the keepers known
+	Beat    uint64        // the beat that is answered; 0 for none
+	Lease   time.Duration // left of the keeper's lease as it answered the beat: what it has told is in force until then
 }
 
 // InForce is what operators have ordered, as far as a majority holds it.
@@ -115,7 +118,8 @@
 	Evacuations []Evacuation // by zone
 	Removals    []muster.Removal
 	Removed     tide.Stamp // of the removals
-	Settled     bool       // a majority is in sight
+	Settled     bool       // the keeper holds a lease by a majority's word
+	Epoch       uint64     // of the set of disks by which that is so
 }
 
 // Evacuation is the newest order about a zone.
@@ -130,5 +134,5 @@
 	if f == nil || o == nil {
 		return f == o
 	}
-	return f.Version == o.Version && f.Settled == o.Settled && bytes.Equal(f.Config, o.Config) && slices.Equal(f.Evacuations, o.Evacuations) && f.Removed == o.Removed
+	return f.Version == o.Version && f.Settled == o.Settled && f.Epoch == o.Epoch && bytes.Equal(f.Config, o.Config) && slices.Equal(f.Evacuations, o.Evacuations) && f.Removed == o.Removed
 }
