Decide each key of control state by ballots, with the set of disks as a register (machines only)

Need: content that was never acknowledged blocked the one that was (a conflict was judged by one disk), a change of the set passed through two of two, and what was told to lighthouses was not bounded by a majority's word. Change: package tide holds an acceptor and a replica, pure: prepare and accept for each key, reads by what a quorum holds, looks that give a lease counted from their asking, joint sets with everything decided anew before the old members are left. Package helm holds the duty over it: its holder stands in the set.

--- a/internal/helm/helm.go
+++ b/internal/helm/helm.go
@@ -1,9 +1,10 @@
-// Package helm is a duty that one process does alone: here, changing the set of disks that counts. Who has it has a term;
-// the holder names its successor when it can, and a majority of the disks names one when it can't. Whoever holds an old term
-// is refused by each disk, so two that both think that they hold it do no harm. It is pure.
+// Package helm is a duty that one process does alone: changing the set of disks that counts. Who has it stands in the set itself, so
+// that each holder has an epoch of its own, and a change by one that has lost the duty, or was never told so, is refused by the
+// register of the set. The holder names its successor when it can, and a majority of the disks one when it can't. It is pure.
 package helm
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -18,121 +19,161 @@
 // The states. turn is the one function that changes them.
 const (
 	Following State = iota // another has it, or nobody
-	Asking                 // it asks a majority for it
+	Asking                 // it asks a quorum for it
 	Holding                // it has it
+	Changing               // it has it, and has begun a change of the set
 )
 
-func (s State) String() string { return [...]string{"following", "asking", "holding"}[s] }
-
-// Vow is what a disk has promised. It is on disk before it is said.
-type Vow struct {
-	Term     uint64    // no lower one is listened to
-	Accepted *tide.Set // for the next number; nil for none
-	In       uint64    // the term in which it was accepted
-}
-
-// Machine is one process. It is not safe for concurrent use.
-type Machine struct {
-	me     string
-	vow    Vow
-	state  State
-	term   uint64 // of the duty as last heard
-	holder string
-	heard  time.Time // of the holder
-}
+func (s State) String() string { return [...]string{"following", "asking", "holding", "changing"}[s] }
 
 const (
 	lostAfter = time.Second            // a holder that nobody hears
 	stagger   = 450 * time.Millisecond // between two that could ask for the duty: longer than they take to look
-	jitter    = 300                    // ms, by term and disk: two that asked at once do not do so again
+	jitter    = 300                    // ms, by epoch and disk: two that asked at once do not do so again
+	patience  = 800 * time.Millisecond // for a step of a change; then it is tried again
+	giveUp    = 4 * time.Second        // for what is next to take the place of the members; then the members go on
+	soonGone  = 1500 * time.Millisecond
+	longGone  = 10 * time.Second
+	fresh     = 2 * time.Second // a sight of what another holds
 )
 
-// New makes one for a disk, with what it had promised.
-func New(now time.Time, me string, vow Vow) *Machine {
-	return &Machine{me: me, vow: vow, heard: now}
+// Machine is one process. It is not safe for concurrent use.
+type Machine struct {
+	replica *tide.Replica
+	losses  int // disks that may be lost at once
+	state   State
+	epoch   uint64    // of the set, as last looked at
+	since   time.Time // that epoch, or the state, began
+	begun   time.Time // this process started: nobody has been heard before
+	joint   time.Time // since when the set is joint; zero if it is not
 }
 
-// State, Term and Holder tell who has the duty, as far as this process knows.
-func (m *Machine) State() State   { return m.state }
-func (m *Machine) Term() uint64   { return m.term }
-func (m *Machine) Holder() string { return m.holder }
+// New makes one over a replica.
+func New(now time.Time, r *tide.Replica, losses int) *Machine {
+	return &Machine{replica: r, losses: losses, since: now, begun: now, epoch: r.Set().Epoch}
+}
 
-// Vow is what has been promised.
-func (m *Machine) Vow() Vow { return m.vow }
+// State tells how this process is towards the duty.
+func (m *Machine) State() State { return m.state }
 
 // turn is the one function that changes the state.
-func (m *Machine) turn(to State, term uint64, holder string) {
-	m.state, m.term, m.holder = to, term, holder
-}
+func (m *Machine) turn(now time.Time, to State) { m.state, m.since = to, now }
 
-// Heard takes that a disk says that it holds a term.
-func (m *Machine) Heard(now time.Time, term uint64, holder string) {
-	if term < m.term || holder == "" || holder == m.me {
-		return
+// Tick does what is due, the replica's work included.
+func (m *Machine) Tick(now time.Time) tide.Out {
+	out := m.replica.Tick(now)
+	set, me := m.replica.Set(), m.replica.Me().Disk
+	if set.Epoch != m.epoch {
+		m.epoch = set.Epoch
+		to := Following
+		if set.Holder == me {
+			to = Holding
+		}
+		m.turn(now, to)
 	}
-	if term > m.term || m.state == Following {
-		m.turn(Following, term, holder)
-		m.heard = now
+	switch {
+	case !set.Joint():
+		m.joint = time.Time{}
+	case m.joint.IsZero():
+		m.joint = now
 	}
-}
-
-// Due tells whether this process is to ask for the duty now: the holder was not heard for a while, and this disk's turn in
-// the set has come.
-func (m *Machine) Due(now time.Time, set *tide.Set) bool {
-	place := slices.IndexFunc(set.Members, func(x tide.Member) bool { return x.Disk == m.me })
-	if place < 0 || m.state != Following {
-		return false
+	if m.replica.Lease(now) == 0 { // who has not caught up has no duty
+		return out
+	}
+	switch m.state {
+	case Following:
+		if set.Holder == me {
+			m.turn(now, Holding)
+		} else if m.due(now, &set) {
+			set.Epoch, set.Holder = set.Epoch+1, me
+			out.Join(m.succeed(now, set, Asking))
+		}
+	case Asking:
+		if now.Sub(m.since) > patience {
+			m.turn(now, Following)
+		}
+	case Holding:
+		out.Join(m.steer(now, set))
+	case Changing:
+		if now.Sub(m.since) > patience {
+			m.turn(now, Holding)
+		}
 	}
-	more := spread.Name(fmt.Sprint(m.me, m.vow.Term)) % jitter
-	return now.Sub(m.heard) > lostAfter+time.Duration(place)*stagger+time.Duration(more)*time.Millisecond
+	return out
 }
 
-// Ask begins to ask for the duty, and gives the term that is asked for. The own promise is to be kept on disk first.
-func (m *Machine) Ask(now time.Time) uint64 {
-	term := max(m.vow.Term, m.term) + 1
-	m.vow.Term = term
-	m.turn(Asking, term, "")
-	m.heard = now
-	return term
+// succeed proposes the next set.
+func (m *Machine) succeed(now time.Time, next tide.Set, to State) tide.Out {
+	m.turn(now, to)
+	return m.replica.Order(now, 0, tide.Change{Kind: tide.Succeed, Key: tide.SetKey, Set: &next})
 }
 
-// Promise answers one that asks for a term; what it changes is to be kept on disk before it is said.
-func (m *Machine) Promise(now time.Time, term uint64, asker string) bool {
-	if term <= m.vow.Term {
-		return false
+// steer goes on with a change of the set, or begins one.
+func (m *Machine) steer(now time.Time, set tide.Set) tide.Out {
+	set.Epoch++
+	if !set.Joint() {
+		seen := m.sights(now)
+		if set.Next = Next(set.Members, seen, m.losses); set.Next == nil {
+			return tide.Out{}
+		}
+		return m.succeed(now, set, Changing)
+	}
+	switch {
+	case m.replica.Sealed():
+		set.Members, set.Next = set.Next, nil
+		if !set.Has(set.Holder) {
+			set.Holder = m.heir(now, &set)
+		}
+		return m.succeed(now, set, Changing)
+	case now.Sub(m.joint) > giveUp:
+		set.Next = nil
+		return m.succeed(now, set, Changing)
 	}
-	m.vow.Term = term
-	m.turn(Following, term, asker)
-	m.heard = now
-	return true
+	return m.replica.Seal(now)
 }
 
-// Won takes that a majority promised the term.
-func (m *Machine) Won(term uint64) bool {
-	if m.state != Asking || m.term != term {
-		return false
+// Resign names a successor, if this process has the duty.
+func (m *Machine) Resign(now time.Time) (out tide.Out, heir string) {
+	set := m.replica.Set()
+	if set.Holder != m.replica.Me().Disk {
+		return out, ""
 	}
-	m.turn(Holding, term, m.me)
-	return true
+	if set.Holder = m.heir(now, &set); set.Holder == "" {
+		return out, ""
+	}
+	set.Epoch++
+	return m.succeed(now, set, Following), set.Holder
 }
 
-// Lost takes that the term was not promised, or that a higher one is about.
-func (m *Machine) Lost(now time.Time, higher uint64) {
-	if m.state == Following {
-		return
+// heir is the member heard last, but this process; "" for none.
+func (m *Machine) heir(now time.Time, set *tide.Set) string {
+	best := tide.Other{}
+	for _, o := range m.replica.Others() {
+		if o.Alive(now) && set.Has(o.Disk) && o.Heard.After(best.Heard) {
+			best = o
+		}
 	}
-	m.vow.Term = max(m.vow.Term, higher)
-	m.turn(Following, max(m.term, higher), "")
-	m.heard = now
+	return best.Disk
 }
 
-// Accept takes the next set from the holder of a term; what it changes is to be kept on disk before it is said.
-func (m *Machine) Accept(term uint64, next *tide.Set) bool {
-	if term < m.vow.Term {
+// due tells whether this process is to ask for the duty now: the holder was not heard for a while, and this disk's turn has come.
+func (m *Machine) due(now time.Time, set *tide.Set) bool {
+	me := m.replica.Me().Disk
+	place := slices.IndexFunc(set.Members, func(x tide.Member) bool { return x.Disk == me })
+	if place < 0 {
 		return false
 	}
-	m.vow = Vow{Term: term, Accepted: next, In: term}
-	return true
+	heard := m.begun
+	if m.since.After(heard) && (set.Holder == "" || !set.Has(set.Holder)) {
+		heard = m.since
+	}
+	for _, o := range m.replica.Others() {
+		if o.Disk != "" && o.Disk == set.Holder && o.Heard.After(heard) {
+			heard = o.Heard
+		}
+	}
+	more := spread.Name(fmt.Sprint(me, set.Epoch)) % jitter
+	return now.Sub(heard) > lostAfter+time.Duration(place)*stagger+time.Duration(more)*time.Millisecond
 }
 
 // Sight is a keeper as the holder sees it.
@@ -140,67 +181,103 @@
 	tide.Member
 	Alive  bool
 	Absent time.Duration // for so long it has not answered
+	Holds  bool          // it holds all that is chosen
 }
 
-const (
-	soonGone  = 1500 * time.Millisecond // a member that another could take the place of
-	longGone  = 10 * time.Second        // one that nobody could
-	oneByOne  = 1
-	halfOfAll = 2
-)
+// sights are the keepers as this one sees them, itself among them.
+func (m *Machine) sights(now time.Time) []Sight {
+	out := []Sight{{Member: m.replica.Me(), Alive: true, Holds: true}}
+	for _, o := range m.replica.Others() {
+		s := Sight{Member: o.Member, Alive: o.Alive(now), Holds: now.Sub(o.Same) < fresh}
+		if !s.Alive {
+			s.Absent = now.Sub(cmp.Or(o.Heard, m.begun))
+		}
+		out = append(out, s)
+	}
+	return out
+}
 
-// Next is the set that is to follow, by what the holder sees; nil for none. Losses is how many disks may be lost at once. A
-// disk whose machine shows another one is gone for certain. One that does not answer leaves at once where another waits to
-// take its place, or where the set is even, so that nothing is lost by its leaving; else only after long.
-func Next(set *tide.Set, seen []Sight, losses int) *tide.Set {
-	least := halfOfAll*losses + oneByOne
-	without := func(disk string) *tide.Set {
-		n := &tide.Set{Number: set.Number + 1, Members: slices.DeleteFunc(slices.Clone(set.Members), func(m tide.Member) bool { return m.Disk == disk })}
-		if len(n.Members) == 0 {
-			return nil
+// Next are the disks that are to count, by what the holder sees; nil for those that do. Losses is how many may be lost at once. In one
+// step, those that are gone are replaced by those that wait and hold all that is chosen, and as many more come as leave the number odd.
+// A disk whose machine shows another one is gone for certain. One that does not answer is replaced soon; where none waits, it leaves
+// only after long, and only down to twice the losses and one.
+func Next(members []tide.Member, seen []Sight, losses int) []tide.Member {
+	var stay, wait []tide.Member
+	var gone []leaver
+	for _, s := range seen {
+		if s.Alive && s.Counts && s.Holds && !slices.ContainsFunc(members, func(x tide.Member) bool { return x.Disk == s.Disk }) {
+			wait = append(wait, s.Member)
 		}
-		return n
 	}
-	var waits *tide.Member
-	for i := range seen {
-		if s := &seen[i]; s.Alive && s.Counts && !set.Has(s.Disk) && waits == nil {
-			waits = &s.Member
+	for _, x := range members {
+		if d := absent(x, seen); d >= soonGone {
+			gone = append(gone, leaver{x, d})
+		} else {
+			stay = append(stay, x)
 		}
 	}
-	absent := func(m tide.Member) time.Duration {
-		for _, s := range seen {
-			if s.Addr == m.Addr && s.Alive && s.Disk == m.Disk {
-				return 0
-			}
-			if s.Addr == m.Addr {
-				return s.Absent
-			}
+	slices.SortStableFunc(gone, func(a, b leaver) int { return cmp.Compare(b.absent, a.absent) })
+	replaced := min(len(gone), len(wait))
+	next := append(slices.Clone(stay), wait[:replaced]...)
+	wait, gone = wait[replaced:], gone[replaced:]
+	least := 2*losses + 1
+	for _, g := range gone {
+		if g.absent < longGone || len(next)+len(gone) <= least || len(next) < least {
+			next = append(next, g.Member)
 		}
-		return longGone
 	}
-	for _, m := range set.Members {
-		for _, s := range seen {
-			if s.Addr == m.Addr && s.Alive && s.Disk != m.Disk {
-				return without(m.Disk)
-			}
+	if more := len(next) + len(wait); len(wait) > 0 {
+		next = append(next, wait[:len(wait)-(1-more%2)]...)
+	}
+	if len(next)%2 == 0 && len(next) > least {
+		next = odd(next, seen)
+	}
+	alive := 0
+	for _, x := range next {
+		if absent(x, seen) < soonGone {
+			alive++
 		}
 	}
-	var longest tide.Member
-	var gone time.Duration
-	for _, m := range set.Members {
-		if d := absent(m); d > gone {
-			longest, gone = m, d
+	if alive < tide.Majority(next) || sameDisks(next, members) {
+		return nil
+	}
+	return next
+}
+
+// odd leaves out the one that was absent for longest, or else the last.
+func odd(next []tide.Member, seen []Sight) []tide.Member {
+	out := len(next) - 1
+	for i, x := range next {
+		if absent(x, seen) > absent(next[out], seen) {
+			out = i
 		}
 	}
-	even := len(set.Members)%halfOfAll == 0
-	spare := len(set.Members) > least
-	switch {
-	case waits != nil && gone >= soonGone && !even:
-		return without(longest.Disk)
-	case waits != nil:
-		return &tide.Set{Number: set.Number + 1, Members: append(slices.Clone(set.Members), *waits)}
-	case spare && (gone >= longGone || even && gone >= soonGone):
-		return without(longest.Disk)
-	}
-	return nil
+	return slices.Delete(next, out, out+1)
+}
+
+type leaver struct {
+	tide.Member
+	absent time.Duration
+}
+
+// absent is for how long a member has not answered; for ever if its machine shows another disk.
+func absent(x tide.Member, seen []Sight) time.Duration {
+	for _, s := range seen {
+		switch {
+		case s.Addr != x.Addr:
+		case s.Disk == x.Disk || s.Disk == "":
+			return s.Absent
+		case s.Alive:
+			return 1 << 62
+		default:
+			return max(s.Absent, longGone)
+		}
+	}
+	return longGone
+}
+
+func sameDisks(a, b []tide.Member) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m tide.Member) bool {
+		return !slices.ContainsFunc(b, func(x tide.Member) bool { return x.Disk == m.Disk })
+	})
 }
--- /dev/null
+++ b/internal/tide/lease.go
@@ -0,0 +1,191 @@
+package tide
+
+import (
+	"slices"
+	"time"
+)
+
+// look is one asking of everybody for how far they are. What a quorum says then is the newest that can have been chosen when the asking
+// left; once this process knows all of it to be chosen, it has a lease from that moment on.
+type look struct {
+	id    uint64
+	asked time.Time
+	own   []Head // as told
+	seen  map[string][]Head
+	need  map[string]Ballot // by key, the newest accepted that a quorum told of; nil until there is a quorum
+}
+
+// begLook begins to look at everybody.
+func (r *Replica) begLook(now time.Time) {
+	r.lastID++
+	r.looked = now
+	r.look = &look{id: r.lastID, asked: now, own: r.acceptor.Heads(), seen: map[string][]Head{}}
+	sum := digest(r.look.own)
+	for _, addr := range r.Peers() {
+		r.ask(r.peers[addr], Ask{ID: r.look.id, Query: Look, Sum: sum})
+	}
+	r.surveyed(now)
+}
+
+// sighted takes the answer of one that was looked at, and mends from it what is newer there.
+func (r *Replica) sighted(now time.Time, p *peer, t *Tell) {
+	l := r.look
+	heads := t.Heads
+	if t.Same {
+		heads = l.own
+	}
+	if _, ok := l.seen[t.From.Disk]; ok {
+		return // the same answer again
+	}
+	l.seen[t.From.Disk] = heads
+	if r.holds(heads) {
+		p.same = now
+	}
+	var newer []string
+	for _, h := range heads {
+		if mine := r.acceptor.Get(h.Key); h.Accepted.Compare(mine.Accepted) > 0 && h.Accepted.Compare(mine.Promised) >= 0 {
+			newer = append(newer, h.Key)
+		}
+	}
+	r.fetch(p.addr, newer...)
+	r.surveyed(now)
+}
+
+// surveyed learns from what a quorum told: what it has accepted at one ballot is chosen.
+func (r *Replica) surveyed(now time.Time) {
+	l := r.look
+	if r.set.Has(r.me.Disk) {
+		l.seen[r.me.Disk] = r.acceptor.Heads()
+	}
+	if !r.set.Reached(func(disk string) bool { _, ok := l.seen[disk]; return ok }) {
+		return
+	}
+	l.need = map[string]Ballot{}
+	for disk, heads := range l.seen {
+		if !r.set.Has(disk) {
+			continue
+		}
+		for _, h := range heads {
+			if h.Accepted.Compare(l.need[h.Key]) > 0 {
+				l.need[h.Key] = h.Accepted
+			}
+		}
+	}
+	for key, b := range l.need {
+		if r.set.Reached(func(disk string) bool { return headOf(l.seen[disk], key).Accepted == b }) {
+			r.learn(now, key, b)
+			r.sealing(key, b)
+		}
+		if r.look != l {
+			return // the set has changed
+		}
+	}
+	r.satisfied(now)
+}
+
+// holds tells whether somebody that is so far holds all that is known to be chosen.
+func (r *Replica) holds(heads []Head) bool {
+	for key, x := range r.chosen {
+		if headOf(heads, key).Accepted.Compare(x.Accepted) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func headOf(heads []Head, key string) Head {
+	if i := slices.IndexFunc(heads, func(h Head) bool { return h.Key == key }); i >= 0 {
+		return heads[i]
+	}
+	return Head{}
+}
+
+// sealing notes that quorums of a joint set hold a key at one ballot, and have promised nothing above it: nothing that was begun before
+// the set was joint can be chosen any more without having been seen.
+func (r *Replica) sealing(key string, b Ballot) {
+	if r.set.Joint() && r.set.Reached(func(disk string) bool {
+		h := headOf(r.look.seen[disk], key)
+		return h.Accepted == b && h.Promised == b
+	}) {
+		r.sealed[key] = true
+	}
+}
+
+// satisfied gives a lease if all that the quorum told of is known to be chosen.
+func (r *Replica) satisfied(now time.Time) {
+	l := r.look
+	if l == nil || l.need == nil {
+		return
+	}
+	for key, b := range l.need {
+		if r.chosen[key].Accepted.Compare(b) < 0 {
+			if _, ok := r.stuck[key]; !ok {
+				r.stuck[key] = now
+			}
+			return
+		}
+	}
+	if until := l.asked.Add(r.settings.Lease); until.After(r.lease) {
+		if r.lease.Before(now) {
+			r.out.News = true
+		}
+		r.lease = until
+	}
+}
+
+// unstick decides anew what stays undecided: its proposer is gone, perhaps.
+func (r *Replica) unstick(now time.Time) {
+	turn := stuckFor + time.Duration(r.place())*stuckTurn
+	for key, since := range r.stuck {
+		if now.Sub(since) < turn {
+			continue
+		}
+		r.stuck[key] = now
+		if r.orders[key] == nil {
+			r.propose(now, 0, Change{Kind: Confirm, Key: key})
+		}
+	}
+}
+
+// Seal decides anew every key that a quorum of a joint set tells of. Sealed is true once that is done: what was next may then take
+// the place of the members.
+func (r *Replica) Seal(now time.Time) Out {
+	if r.set.Joint() && r.look != nil && r.look.need != nil {
+		for _, key := range r.told() {
+			if !r.sealed[key] && r.orders[key] == nil {
+				r.propose(now, 0, Change{Kind: Confirm, Key: key})
+			}
+		}
+	}
+	return r.take()
+}
+
+// Sealed tells whether every key that a quorum of the joint set told of, in this epoch, was decided anew.
+func (r *Replica) Sealed() bool {
+	if !r.set.Joint() || r.look == nil || r.look.need == nil {
+		return false
+	}
+	for _, key := range r.told() {
+		if !r.sealed[key] {
+			return false
+		}
+	}
+	return true
+}
+
+// told are the keys that a quorum told of, promised or accepted.
+func (r *Replica) told() []string {
+	var out []string
+	for disk, heads := range r.look.seen {
+		if !r.set.Has(disk) {
+			continue
+		}
+		for _, h := range heads {
+			if !slices.Contains(out, h.Key) {
+				out = append(out, h.Key)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
