Carry the registers by agreement in the keeper; keep head and value apart on disk

Need: the keeper decided conflicts by its own disk and told of a majority by what answered of late. Change: the keeper carries package tide and helm: orders and reads go by ballots, what is promised is synced before it is said, a disk that fails makes it mute until everything is written anew; it tells of what is in force only once it had a lease. Disks of the earlier program are read. The wire between own processes has a new version.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -1,14 +1,14 @@
-// Package keeper is the store of configuration: one process on each core machine, with the disk. What operators order is
-// written at one disk, offered to all, and acknowledged once a majority of the disks that count holds it (package tide).
+// Package keeper is the store of configuration: one process on each core machine, with the disk. What decides is pure: registers by
+// agreement (package tide) and the duty of changing the set of disks (package helm). A keeper carries their messages, and has on disk
+// what they promise before anything is said of it.
 package keeper
 
 import (
+	"cmp"
 	"context"
-	"fmt"
-	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,60 +29,44 @@
 var Start = space.NewType("start")
 
 const (
-	pulse        = 300 * time.Millisecond  // between two looks of the duty's holder at each other keeper
-	wholeWait    = 3 * time.Second         // from its start on, for which a keeper tells of nothing before all that it holds is settled
-	firstPause   = 25 * time.Millisecond   // before a peer is tried again
-	lookTicks    = 3                       // pulses between two looks of any other: what is settled is told at once
-	silence      = 2200 * time.Millisecond // after which a connection counts as dead
-	askTime      = 800 * time.Millisecond  // for one round of asking
-	orderTime    = 3 * time.Second         // for an order, over rounds
-	roundPause   = 30 * time.Millisecond   // between two rounds
-	configKey    = "config"
-	evacPrefix   = "evacuation/"
-	removalsKey  = "removals"
-	mostRemovals = 1 << 20 // bytes
-	diskRecord   = "disk"
-	setRecord    = "set"
+	pulse      = 300 * time.Millisecond // between two ticks where nothing is due before
+	firstPause = 25 * time.Millisecond  // before a peer is tried again
+	silence    = 2200 * time.Millisecond
+	resignTime = 300 * time.Millisecond // for a successor to be agreed on at the end
+	peerQueue  = 256                    // asks to one peer that it has not taken
+	usualAck   = 4 * time.Second        // where the settings name no time for an acknowledgement
+	usualLease = 2 * time.Second        // where they name none for a configuration to be in force everywhere
+	orderPart  = 0.75                   // of the time for an acknowledgement, for one order: the caller asks elsewhere then
 )
 
 // Keeper is one running store. Its state belongs to the goroutine of loop.
 type Keeper struct {
 	s    *berth.Settings
 	log  zerolog.Logger
-	book *logbook.Book
+	disk disk
 	loop *shore.Loop
 
-	me       tide.Member
-	set      tide.Set
-	copy     *tide.Copy
-	settled  map[string]tide.Stamp   // by key, the newest version that a majority is known to hold
-	settles  uint64                  // counts changes of that
-	peers    map[string]*peer        // by address
+	replica  *tide.Replica
+	duty     *helm.Machine
+	mute     bool // the disk failed: nothing is said before everything is on it
+	peers    map[string]*signal.Outbox
+	lastID   uint64
+	orders   map[uint64]func(tide.Result)
 	boats    map[*signal.Outbox]bool // lighthouses
 	lastTold *InForce
-	duty     *helm.Machine
-	changing bool // the holder changes the set
-	ticks    int
-	begun    time.Time
+	known    bool // once there was a lease: what is chosen is known since
+	told     told // as last logged
+	wake     *time.Timer
 	running  sync.WaitGroup
 	listener net.Listener
 	ctx      context.Context
 }
 
-// peer is another keeper, as this one sees it.
-type peer struct {
-	addr   string
-	member tide.Member
-	conn   *signal.Conn
-	heard  time.Time
-	met    time.Time // first heard of, or not reached since
-	asks   map[uint64]func(*Tell)
-	lastID uint64
-	set    uint64 // number of the set that it goes by
-	knows  bool   // it was told who asks, on this connection
-	told   uint64 // count of what was settled, as it was told
-	same   uint64 // digest of all that is held, when it was last found to hold the same
-	turn   int    // of the ticks between two looks, that in which it is looked at
+// told is what was logged last.
+type told struct {
+	epoch uint64
+	state helm.State
+	lease bool
 }
 
 // Address is where the keeper of a machine listens, for its own kind and for lighthouses.
@@ -103,13 +87,17 @@
 		log.Error().Err(spoilt).Msg("disk counts as lost")
 	}
 	k := &Keeper{
-		s: s, log: log, book: book, loop: shore.NewLoop(256), begun: time.Now(), settled: map[string]tide.Stamp{},
-		peers: map[string]*peer{}, boats: map[*signal.Outbox]bool{},
+		s: s, log: log, disk: disk{book, map[string]tide.Ballot{}}, loop: shore.NewLoop(256), peers: map[string]*signal.Outbox{},
+		orders: map[uint64]func(tide.Result){}, boats: map[*signal.Outbox]bool{},
 	}
-	if err := k.recall(); err != nil {
+	registers, set, me, err := k.recall()
+	if err != nil {
 		book.Close()
 		return nil, err
 	}
+	order := time.Duration(orderPart * float64(cmp.Or(s.Bounds.Ack, usualAck)))
+	k.replica = tide.NewReplica(me, tide.Settings{Lease: cmp.Or(s.Bounds.Converge, usualLease), Order: order}, set, registers)
+	k.duty = helm.New(time.Now(), k.replica, s.LossMachines)
 	if k.listener, err = net.Listen("tcp", Address(s.IP, s)); err != nil {
 		book.Close()
 		return nil, Start.Wrap(err, "listen")
@@ -117,55 +105,6 @@
 	return k, nil
 }
 
-// recall reads what the disk holds, and gives an empty one its name.
-func (k *Keeper) recall() error {
-	held, err := k.book.Held()
-	if err != nil {
-		return Start.Wrap(err, "entries")
-	}
-	k.copy = tide.NewCopy(held)
-	k.me = tide.Member{Node: k.s.Node, Addr: Address(k.s.IP, k.s), Zone: k.s.Zone, Counts: k.s.InQuorum}
-	known, err := k.book.Get(diskRecord, &k.me.Disk)
-	if err == nil {
-		_, err = k.book.Get(setRecord, &k.set)
-	}
-	if err != nil {
-		return Start.Wrap(err, "records")
-	}
-	if !known {
-		k.me.Disk = fmt.Sprintf("%s#%016x", k.s.IP, rand.Uint64())
-		if k.s.Bootstrap {
-			k.found()
-		}
-		if err := k.book.Put(diskRecord, k.me.Disk); err != nil {
-			return Start.Wrap(err, "name of the disk")
-		}
-		if k.set.Number > 0 {
-			if err := k.book.Put(setRecord, k.set); err != nil {
-				return Start.Wrap(err, "set of disks")
-			}
-		}
-	}
-	if err := k.recallDuty(); err != nil {
-		return Start.Wrap(err, "duty")
-	}
-	k.log.Info().Str("disk", k.me.Disk).Bool("empty", !known).Uint64("set", k.set.Number).Int("entries", len(held)).Msg("disk opened")
-	return nil
-}
-
-// found makes the first set: the machines that all processes are told of at the very first start. Their disks have names
-// that all know then, and that no disk is ever given again.
-func (k *Keeper) found() {
-	first := tide.Set{Number: 1}
-	for _, ip := range slices.Sorted(slices.Values(k.s.SeedIPs())) {
-		if ip == k.s.IP {
-			k.me.Disk = ip + "#first"
-		}
-		first.Members = append(first.Members, tide.Member{Disk: ip + "#first", Addr: Address(ip, k.s)})
-	}
-	k.set = first
-}
-
 // Run serves until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
@@ -179,7 +118,35 @@
 	stop()
 	k.listener.Close()
 	k.running.Wait()
-	return k.book.Close()
+	return k.disk.book.Close()
+}
+
+// resign names a successor, if this process has the duty, and waits a little for it to be agreed on.
+func (k *Keeper) resign() {
+	agreed := make(chan struct{})
+	k.loop.Post(func() {
+		out, heir := k.duty.Resign(time.Now())
+		if heir == "" {
+			close(agreed)
+			return
+		}
+		k.log.Info().Str("successor", heir).Msg("duty handed on")
+		k.act(out)
+		k.afterNews(func() bool { set := k.replica.Set(); return set.Holder == heir }, agreed)
+	})
+	select {
+	case <-agreed:
+	case <-time.After(resignTime):
+	}
+}
+
+// afterNews closes a channel once something is so.
+func (k *Keeper) afterNews(so func() bool, done chan struct{}) {
+	if so() {
+		close(done)
+		return
+	}
+	time.AfterFunc(firstPause, func() { k.loop.Post(func() { k.afterNews(so, done) }) })
 }
 
 // Changed takes settings that were read again.
@@ -187,227 +154,157 @@
 	k.loop.Post(func() { k.s = s; k.meetSeeds() })
 }
 
-// meetSeeds gets to know the keepers beside the machines that the settings name, and those of the set.
+// meetSeeds gets to know the keepers beside the machines that the settings name.
 func (k *Keeper) meetSeeds() {
 	for _, ip := range k.s.SeedIPs() {
-		k.meet(Address(ip, k.s))
-	}
-	for _, m := range k.set.Members {
-		k.meet(m.Addr)
+		k.replica.Meet(Address(ip, k.s))
 	}
+	k.meet()
 }
 
-// meet begins to know a keeper.
-func (k *Keeper) meet(addr string) {
-	if addr == "" || addr == k.me.Addr || k.peers[addr] != nil {
-		return
+// meet holds a connection to each keeper that is known.
+func (k *Keeper) meet() {
+	for _, addr := range k.replica.Peers() {
+		if _, known := k.peers[addr]; !known {
+			k.peers[addr] = nil
+			k.running.Go(func() { k.follow(addr) })
+		}
 	}
-	p := &peer{addr: addr, asks: map[uint64]func(*Tell){}, met: time.Now(), turn: len(k.peers) % lookTicks}
-	k.peers[addr] = p
-	k.running.Go(func() { k.follow(p) })
 }
 
-// follow holds a connection to a peer.
-func (k *Keeper) follow(p *peer) {
-	signal.Hold(k.ctx, p.addr, silence, signal.Pause{First: firstPause, Most: pulse}, &Hello{Keeper: &k.me}, func(conn *signal.Conn) {
-		k.loop.Post(func() { p.conn, p.knows, p.told, p.set, p.same = conn, false, 0, 0, 0; k.look(p) })
-		defer k.loop.Post(func() { k.lost(p, conn) })
+// follow holds a connection to a peer, over which it is asked.
+func (k *Keeper) follow(addr string) {
+	pause := signal.Pause{First: firstPause, Most: pulse}
+	signal.Hold(k.ctx, addr, silence, pause, &Hello{Keeper: true}, func(conn *signal.Conn) {
+		box := signal.NewOutbox(conn, peerQueue)
+		k.running.Go(box.Run)
+		k.loop.Post(func() {
+			k.peers[addr] = box
+			k.replica.Renewed(addr)
+			me := k.replica.Me()
+			box.Say(&me)
+		})
+		defer k.loop.Post(func() {
+			if k.peers[addr] == box {
+				k.peers[addr] = nil
+			}
+		})
+		var who tide.Member // it says first who it is
+		if conn.Receive(&who) != nil {
+			return
+		}
 		for {
-			var t Tell
+			var t tide.Tell
 			if conn.Receive(&t) != nil {
 				return
 			}
-			k.loop.Post(func() { k.told(p, &t) })
+			t.From = who
+			k.loop.Post(func() {
+				if !k.mute {
+					k.act(k.replica.Told(time.Now(), &t))
+				}
+			})
 		}
 	})
 }
 
-// lost notes that a connection ended: what was asked over it has no answer.
-func (k *Keeper) lost(p *peer, conn *signal.Conn) {
-	if p.conn != conn {
+// tick does what is due.
+func (k *Keeper) tick() {
+	if k.mute {
+		k.speakAgain()
 		return
 	}
-	p.conn = nil
-	asks := p.asks
-	p.asks = map[uint64]func(*Tell){}
-	for _, id := range slices.Sorted(maps.Keys(asks)) {
-		asks[id](nil)
-	}
+	k.act(k.duty.Tick(time.Now()))
+	k.tell()
 }
 
-// ask asks a peer; then gets the answer, or nil for none.
-func (k *Keeper) ask(p *peer, a Ask, then func(*Tell)) {
-	if p.conn == nil {
-		then(nil)
+// act has what follows from an input on disk, and then done.
+func (k *Keeper) act(out tide.Out) {
+	if !k.keep(out) {
 		return
 	}
-	p.lastID++
-	a.ID, a.Set = p.lastID, k.set
-	if !p.knows {
-		a.From = k.me
-	}
-	if p.set >= k.set.Number {
-		a.Set = tide.Set{Number: k.set.Number}
-	}
-	if p.told != k.settles {
-		a.Settled, p.told = k.known(), k.settles
-	}
-	id, conn := a.ID, p.conn
-	p.asks[id] = then
-	k.running.Go(func() { conn.Send(&a) })
-	time.AfterFunc(askTime, func() {
-		k.loop.Post(func() {
-			if f := p.asks[id]; f != nil {
-				delete(p.asks, id)
-				f(nil)
-			}
-		})
-	})
+	k.do(out)
 }
 
-// told hears the answer to an ask.
-func (k *Keeper) told(p *peer, t *Tell) {
-	p.heard, p.set = time.Now(), t.Set.Number
-	p.met = p.heard
-	if t.From.Addr != "" {
-		p.member, p.knows = t.From, true
-	}
-	t.From = p.member
-	k.adopt(&t.Set)
-	if f := p.asks[t.ID]; f != nil {
-		delete(p.asks, t.ID)
-		f(t)
+// keep has on disk what must be there before anything else of it is done; false if the disk did not take it.
+func (k *Keeper) keep(out tide.Out) bool {
+	if k.mute {
+		return false
 	}
-}
-
-// alive tells whether a peer answered just now.
-func (p *peer) alive() bool {
-	return p.conn != nil && time.Since(p.heard) < (lookTicks+1)*pulse+askTime
-}
-
-// adopt goes by a set that follows the one gone by so far.
-func (k *Keeper) adopt(s *tide.Set) {
-	if s.Number <= k.set.Number || len(s.Members) == 0 {
-		return
-	}
-	if err := k.book.Put(setRecord, *s); err != nil {
-		k.log.Error().Err(err).Msg("set not kept")
-		return
-	}
-	k.set = *s
-	k.log.Info().Uint64("set", s.Number).Int("disks", len(s.Members)).Msg("set of disks in force")
-	k.meetSeeds()
-}
-
-// tick looks at every peer, and does what is due.
-func (k *Keeper) tick() {
-	k.ticks++
-	for _, p := range k.peers {
-		if k.duty.State() == helm.Holding || k.ticks%lookTicks == p.turn {
-			k.look(p)
+	if err := k.disk.keep(out.Keep, out.Set); err != nil {
+		k.log.Error().Err(err).Msg("not kept")
+		k.mute = true
+		for id, then := range k.orders {
+			delete(k.orders, id)
+			then(tide.Result{Outcome: tide.Unclear})
 		}
+		k.tell()
+		return false
 	}
-	k.dutyTick()
-	k.tell()
-}
-
-// look compares with a peer, and mends from it what is newer there.
-func (k *Keeper) look(p *peer) {
-	digest := k.copy.Digest()
-	k.ask(p, Ask{Digest: digest, Duty: k.dutySign()}, func(t *Tell) {
-		switch {
-		case t == nil || t.Behind:
-		case t.Differs:
-			k.compare(p)
-		default:
-			p.same = digest
-			k.agree()
-		}
-	})
+	return true
 }
 
-// agree settles everything that is held, if a majority of the disks that count holds just the same: so a core that was started anew,
-// all of it perhaps, knows what is in force without an order.
-func (k *Keeper) agree() {
-	digest := k.copy.Digest()
-	same := map[string]bool{k.me.Disk: true}
-	for _, p := range k.peers {
-		if p.conn != nil && p.same == digest {
-			same[p.member.Disk] = true
-		}
-	}
-	if !k.set.Reached(same) {
+// speakAgain has everything on disk, after a failure, and ends the silence.
+func (k *Keeper) speakAgain() {
+	set := k.replica.Set()
+	clear(k.disk.values)
+	if err := k.disk.keep(k.replica.Acceptor().All(), &set); err != nil {
 		return
 	}
-	k.settle(k.copy.All()...)
+	k.mute = false
+	k.log.Info().Msg("the disk takes writes again")
 }
 
-// compare has a peer tell what it holds in the ranges that differ, and tells it in turn.
-func (k *Keeper) compare(p *peer) {
-	d := k.copy.Digests()
-	k.ask(p, Ask{Digests: &d}, func(t *Tell) {
-		if t == nil {
-			return
+// do does what follows from an input, once what it needs is on disk.
+func (k *Keeper) do(out tide.Out) {
+	k.meet()
+	for i := range out.Asks {
+		if box := k.peers[out.Asks[i].To]; box != nil {
+			a := out.Asks[i]
+			a.From, a.To = tide.Member{}, ""
+			box.Say(&a)
 		}
-		k.mend(t.Entries)
-		if len(t.Ranges) > 0 {
-			if mine := k.copy.Within(t.Ranges); len(mine) > 0 {
-				k.ask(p, Ask{Offer: mine}, func(*Tell) {})
-			}
-		}
-	})
-}
-
-// known is what a majority is known to hold.
-func (k *Keeper) known() []Held {
-	var out []Held
-	for _, key := range slices.Sorted(maps.Keys(k.settled)) {
-		out = append(out, Held{key, k.settled[key]})
 	}
-	return out
-}
-
-// settle notes that a majority holds some versions, and tells lighthouses of all of them together.
-func (k *Keeper) settle(held ...tide.Entry) {
-	changed := false
-	for _, e := range held {
-		if old, ok := k.settled[e.Key]; !ok || e.Stamp.Compare(old) > 0 {
-			k.settled[e.Key], changed = e.Stamp, true
+	for _, r := range out.Results {
+		if then := k.orders[r.Order]; then != nil {
+			delete(k.orders, r.Order)
+			then(r)
 		}
 	}
-	if changed {
-		k.settles++
+	if out.News {
 		k.tell()
 	}
+	k.report()
+	k.wakeFor()
 }
 
-// mend takes what is newer than what is held, on disk first.
-func (k *Keeper) mend(entries []tide.Entry) error {
-	var newer []tide.Entry
-	for _, e := range entries {
-		if k.copy.Newer(&e) {
-			newer = append(newer, e)
-		}
+// wakeFor has a tick come when something is due before the next one.
+func (k *Keeper) wakeFor() {
+	if k.wake != nil {
+		k.wake.Stop()
 	}
-	if len(newer) == 0 {
-		return nil
+	now := time.Now()
+	if wait := k.replica.Due(now).Sub(now); wait < pulse {
+		k.wake = time.AfterFunc(max(wait, time.Millisecond), func() { k.loop.Post(k.tick) })
 	}
-	if err := k.book.Entries(newer...); err != nil {
-		k.log.Error().Err(err).Msg("not kept")
-		return err
-	}
-	for _, e := range newer {
-		k.copy.Put(e)
+}
+
+// report logs what has changed of the duty, the set and the lease.
+func (k *Keeper) report() {
+	set, now := k.replica.Set(), told{state: k.duty.State(), lease: k.replica.Lease(time.Now()) > 0}
+	if now.epoch = set.Epoch; now == k.told {
+		return
 	}
-	k.tell()
-	return nil
+	k.log.Info().Uint64("epoch", set.Epoch).Int("disks", len(set.Members)).Int("next", len(set.Next)).Str("holder", set.Holder).
+		Stringer("duty", now.state).Bool("lease", now.lease).Msg("set of disks in force")
+	k.told = now
 }
 
 // Hello is the first message of a connection to a keeper.
 type Hello struct {
-	Keeper     *tide.Member // of another keeper
-	Lighthouse string       // or the node of a lighthouse
-	Status     bool         // or one that only asks how things are: a Status is the answer
+	Keeper     bool   // another keeper: it says next who it is, and so does the one that is called
+	Lighthouse string // or the node of a lighthouse
+	Status     bool   // or one that only asks how things are: a Status is the answer
 }
 
 // serve answers one connection.
@@ -427,71 +324,60 @@
 		}
 		return
 	}
-	if h.Keeper == nil {
+	if !h.Keeper {
 		k.serveBoat(conn)
 		return
 	}
-	k.loop.Post(func() { k.meet(h.Keeper.Addr) })
+	var who tide.Member
+	if conn.Receive(&who) != nil {
+		return
+	}
+	me := k.replica.Me()
+	if conn.Send(&me) != nil {
+		return
+	}
 	for {
-		var a Ask
+		var a tide.Ask
 		if err := conn.Receive(&a); err != nil {
 			if errorx.IsOfType(err, signal.Foreign) {
 				k.log.Warn().Err(err).Str("peer", conn.Peer()).Msg("peer cannot be understood")
 			}
 			return
 		}
-		t, ok := shore.Ask(k.loop, func() *Tell { return k.answer(&a) })
-		if !ok || conn.Send(t) != nil {
+		a.From = who
+		t, ok := shore.Ask(k.loop, func() *tide.Tell { return k.answer(&a) })
+		if !ok {
+			return
+		}
+		if t != nil && conn.Send(t) != nil {
 			return
 		}
 	}
 }
 
-// answer answers an ask.
-func (k *Keeper) answer(a *Ask) *Tell {
-	k.adopt(&a.Set)
-	t := &Tell{ID: a.ID, Behind: a.Set.Number < k.set.Number}
-	t.Set = tide.Set{Number: k.set.Number}
-	if t.Behind {
-		t.Set = k.set
-	}
-	if a.From.Addr != "" {
-		t.From = k.me
-	}
-	t.Differs = a.Digest != 0 && a.Digest != k.copy.Digest()
-	var settled []tide.Entry
-	for _, h := range a.Settled {
-		if e, ok := k.copy.Get(h.Key); ok && e.Stamp.Compare(h.Stamp) == 0 {
-			settled = append(settled, e)
-		}
+// answer answers an ask; nil for silence.
+func (k *Keeper) answer(a *tide.Ask) *tide.Tell {
+	if k.mute {
+		return nil
 	}
-	k.settle(settled...)
-	if len(a.Offer) > 0 {
-		t.Stored = k.mend(a.Offer) == nil
-		for _, e := range a.Offer {
-			held, ok := k.copy.Get(e.Key)
-			if !ok || !held.Same(&e) {
-				t.Stored = false
-			}
-			if ok && held.Stamp.Compare(e.Stamp) >= 0 && !held.Same(&e) {
-				t.Entries = append(t.Entries, held)
-			}
-		}
+	t, out := k.replica.Answer(time.Now(), a)
+	if !k.keep(out) {
+		return nil
 	}
-	for _, key := range a.Collect {
-		if e, ok := k.copy.Get(key); ok {
-			t.Entries = append(t.Entries, e)
+	k.do(out)
+	t.From = tide.Member{}
+	return &t
+}
+
+// core are the keepers known that answer, this one among them.
+func (k *Keeper) core() []tide.Member {
+	out := []tide.Member{k.replica.Me()}
+	now := time.Now()
+	for _, o := range k.replica.Others() {
+		if o.Alive(now) {
+			out = append(out, o.Member)
 		}
 	}
-	if a.All {
-		t.Entries = k.copy.All()
-	}
-	if a.Digests != nil {
-		t.Ranges = tide.Differing(*a.Digests, k.copy.Digests())
-		t.Entries = append(t.Entries, k.copy.Within(t.Ranges)...)
-	}
-	if a.Duty != nil {
-		t.Duty = k.dutyAnswer(a.Duty)
-	}
-	return t
+	slices.SortFunc(out, func(a, b tide.Member) int { return strings.Compare(a.Addr, b.Addr) })
+	return out
 }
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -295,33 +295,20 @@
 	}
 }
 
-// counted waits until a keeper's present disk counts: the set at the others names it.
+// counted waits until a keeper's present disk counts: the set at the others names it, and is not on its way to another.
 func (f *fleet) counted(i int, within time.Duration) {
 	f.t.Helper()
-	conn, err := signal.Dial(f.t.Context(), Address(f.ip((i+1)%3), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer conn.Close()
-	if err := conn.Send(&Hello{Keeper: &f.stranger().me}); err != nil {
-		f.t.Fatal(err)
-	}
+	var s *Status
 	for end := time.Now().Add(within); time.Now().Before(end); {
-		if err := conn.Send(&Ask{ID: 1, From: f.stranger().me}); err != nil {
-			f.t.Fatal(err)
-		}
-		var t Tell
-		if err := conn.Receive(&t); err != nil {
+		var err error
+		if s, err = AskStatus(Address(f.ip((i+1)%3), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second); err != nil {
 			f.t.Fatal(err)
 		}
-		for _, m := range t.Set.Members {
-			if m.Addr == Address(f.ip(i), &berth.Settings{PortFrom: f.port - 1}) && m.Disk != f.ip(i)+"#first" {
+		for _, m := range s.Set.Members {
+			if m.Addr == Address(f.ip(i), &berth.Settings{PortFrom: f.port - 1}) && m.Disk != f.ip(i)+"#first" && !s.Set.Joint() {
 				return
 			}
 		}
 	}
-	f.t.Fatalf("the disk of keeper %d does not count", i)
+	f.t.Fatalf("the disk of keeper %d does not count: %+v", i, s.Set)
 }
-
-// stranger is one that only asks.
-func (f *fleet) stranger() *Keeper { return &Keeper{} }
--- a/internal/keeper/talk.go
+++ b/internal/keeper/talk.go
@@ -5,59 +5,10 @@
 	"slices"
 	"time"
 
-	"whinknot/internal/helm"
 	"whinknot/internal/muster"
 	"whinknot/internal/tide"
 )
 
-// Ask is what one keeper asks of another.
-type Ask struct {
-	ID      uint64
-	From    tide.Member  // in the first ask of a connection alone
-	Set     tide.Set     // that the asker goes by; its members only if the other may not know them
-	Settled []Held       // what the asker knows a majority to hold, as far as the other has not been told
-	Offer   []tide.Entry // to be held
-	Collect []string     // keys whose entries are asked for
-	All     bool         // every entry is asked for
-	Digest  uint64       // of everything the asker holds; 0 for not told
-	Digests *[tide.Ranges]uint64
-	Duty    *DutyAsk
-}
-
-// Held names one version.
-type Held struct {
-	Key   string
-	Stamp tide.Stamp
-}
-
-// Tell is the answer to an Ask.
-type Tell struct {
-	ID      uint64
-	From    tide.Member  // as in the ask: to one that says who it is
-	Set     tide.Set     // its members only if the asker goes by an older one
-	Differs bool         // this one's digest of everything is another
-	Behind  bool         // the asker goes by an older set: nothing of this counts
-	Stored  bool         // all that was offered is held as it was
-	Entries []tide.Entry // what was asked for, or what is held instead
-	Ranges  []int        // whose digests differ
-	Duty    *DutyTell
-}
-
-// DutyAsk is about the duty of changing the set of disks (package helm).
-type DutyAsk struct {
-	Term    uint64
-	Holder  string    // the disk that has the duty, or asks for it
-	Promise bool      // it asks for it
-	Accept  *tide.Set // the next set, of this term
-	Succeed bool      // the one that is told is to ask for the duty now
-}
-
-// DutyTell answers it.
-type DutyTell struct {
-	Granted bool
-	Vow     helm.Vow
-}
-
 // Order is what a lighthouse has its keeper do.
 type Order struct {
 	ID   uint64
--- a/internal/keeper/verify.go
+++ b/internal/keeper/verify.go
@@ -7,36 +7,46 @@
 
 	"whinknot/internal/chart"
 	"whinknot/internal/logbook"
+	"whinknot/internal/tide"
 )
 
 // Contents is what a disk holds, for people and programs.
 type Contents struct {
 	logbook.Report
-	Faults []string // of what it holds; none for a disk that can be trusted
+	Disk    string // its name
+	Set     tide.Set
+	Entries []tide.Register // by key
+	Faults  []string        // of what it holds; none for a disk that can be trusted
 }
 
 // Verify tells what the logbook in a folder holds, and changes nothing there.
 func Verify(folder string) (*Contents, error) {
-	r, err := logbook.Verify(folder, diskRecord, setRecord)
+	c := &Contents{}
+	r, err := logbook.Verify(folder, func(b *logbook.Book) (err error) {
+		if c.Entries, c.Set, err = held(b); err == nil {
+			_, err = b.Get(diskRecord, &c.Disk)
+		}
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	c := &Contents{Report: *r}
+	c.Report = *r
 	if r.Spoilt != "" {
 		c.Faults = append(c.Faults, "the file cannot be trusted, and counts as an empty disk: "+r.Spoilt)
 		return c, nil
 	}
-	if r.Disk == "" {
+	if c.Disk == "" {
 		c.Faults = append(c.Faults, "the disk has no name: no keeper has used it")
 	}
-	for _, e := range r.Entries {
+	for _, e := range c.Entries {
 		if e.Key != configKey {
 			continue
 		}
-		if held, err := chart.Parse(e.Body); err != nil {
+		if config, err := chart.Parse(e.Value.Body); err != nil {
 			c.Faults = append(c.Faults, fmt.Sprintf("%s: %v", e.Key, err))
-		} else if held.Version != e.Stamp.Number {
-			c.Faults = append(c.Faults, fmt.Sprintf("%s: r%d is kept under the number %d", e.Key, held.Version, e.Stamp.Number))
+		} else if config.Version != e.Value.Stamp.Number {
+			c.Faults = append(c.Faults, fmt.Sprintf("%s: r%d is kept under the number %d", e.Key, config.Version, e.Value.Stamp.Number))
 		}
 	}
 	return c, nil
@@ -45,14 +55,14 @@
 // Print writes what a disk holds for people.
 func (c *Contents) Print(w io.Writer) {
 	fmt.Fprintf(w, "disk %s  bytes=%d  torn-at-the-end=%d\n", c.Disk, c.Bytes, c.Torn)
-	fmt.Fprintf(w, "set of disks %d\n", c.Set.Number)
-	for _, m := range c.Set.Members {
+	fmt.Fprintf(w, "set of disks, epoch %d\n", c.Set.Epoch)
+	for _, m := range c.Set.All() {
 		fmt.Fprintf(w, "  %s at %s\n", m.Disk, m.Addr)
 	}
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "key\tnumber\tdrawn by\tbytes")
 	for _, e := range c.Entries {
-		fmt.Fprintf(t, "%s\t%d\t%s\t%d\n", e.Key, e.Stamp.Number, e.Stamp.By, len(e.Body))
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\n", e.Key, e.Value.Stamp.Number, e.Value.Stamp.By, len(e.Value.Body))
 	}
 	t.Flush()
 	for _, f := range c.Faults {
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -164,6 +164,33 @@
 	return b.put(map[string]any{recordKey + name: record})
 }
 
+// PutAll writes records under their names, all or none.
+func (b *Book) PutAll(records map[string]any) error {
+	values := make(map[string]any, len(records))
+	for name, record := range records {
+		values[recordKey+name] = record
+	}
+	return b.put(values)
+}
+
+// Records reads all records whose names begin with a prefix, by name.
+func (b *Book) Records(prefix string, each func(name string, decode func(record any) error) error) error {
+	return b.db.View(func(tx *buntdb.Tx) error {
+		var bad error
+		tx.AscendKeys(recordKey+prefix+"*", func(key, value string) bool {
+			plain, _ := opened(key, value)
+			bad = each(strings.TrimPrefix(key, recordKey), func(record any) error {
+				if err := gob.NewDecoder(bytes.NewReader(plain)).Decode(record); err != nil {
+					return Spoilt.Wrap(err, "%s", key)
+				}
+				return nil
+			})
+			return bad == nil
+		})
+		return bad
+	})
+}
+
 // Get reads a record; ok is false for none.
 func (b *Book) Get(name string, record any) (ok bool, err error) {
 	err = b.db.View(func(tx *buntdb.Tx) error {
--- a/internal/logbook/verify.go
+++ b/internal/logbook/verify.go
@@ -4,25 +4,20 @@
 	"io"
 	"os"
 	"path/filepath"
-
-	"whinknot/internal/tide"
 )
 
 // Report is what a logbook that nobody has open holds, and whether it can be trusted.
 type Report struct {
-	Bytes   int64        // of the file
-	Torn    int64        // of them at its end, which a loss of power left; opening cuts them off
-	Spoilt  string       // why the file cannot be trusted; "" if it can
-	Entries []tide.Entry // by key
-	Set     tide.Set
-	Disk    string // its name
+	Bytes  int64  // of the file
+	Torn   int64  // of them at its end, which a loss of power left; opening cuts them off
+	Spoilt string // why the file cannot be trusted; "" if it can
 }
 
 // mostCopied bounds the file that is looked at, in bytes.
 const mostCopied = 1 << 30
 
-// Verify looks at the logbook in a folder and changes nothing: it opens a copy. The records that it knows are named as keepers name them.
-func Verify(folder, diskRecord, setRecord string) (*Report, error) {
+// Verify looks at the logbook in a folder and changes nothing: it opens a copy, and has what it holds read.
+func Verify(folder string, read func(*Book) error) (*Report, error) {
 	from, err := os.Open(filepath.Join(folder, file))
 	if err != nil {
 		return nil, Disk.Wrap(err, "open")
@@ -58,13 +53,7 @@
 	if info, err := os.Stat(path); err == nil {
 		r.Torn = r.Bytes - info.Size()
 	}
-	if r.Entries, err = b.Held(); err == nil {
-		_, err = b.Get(diskRecord, &r.Disk)
-	}
-	if err == nil {
-		_, err = b.Get(setRecord, &r.Set)
-	}
-	if err != nil {
+	if err := read(b); err != nil {
 		r.Spoilt = err.Error()
 	}
 	return r, nil
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -26,7 +26,7 @@
 
 const (
 	maxFrame  = 16 << 20         // bytes of one message
-	magic     = "milletmast 1\n" // both ends say it first: the version of this wire
+	magic     = "milletmast 2\n" // both ends say it first: the version of this wire
 	writeTime = 2 * time.Second
 	dialTime  = 500 * time.Millisecond
 
--- a/internal/tide/ballot.go
+++ b/internal/tide/ballot.go
@@ -8,6 +8,7 @@
 package tide
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 
@@ -38,6 +39,16 @@
 	return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.By, b.By))
 }
 
+// Entry is one version of a key as a disk of an earlier program holds it.
+type Entry struct {
+	Key   string
+	Stamp Stamp
+	Body  []byte
+}
+
+// Same tells whether two entries are one version with one content.
+func (e *Entry) Same(o *Entry) bool { return e.Stamp == o.Stamp && bytes.Equal(e.Body, o.Body) }
+
 // Past names a value that was chosen once: its number, and a digest of its body.
 type Past struct{ Number, Sum uint64 }
 
--- a/internal/tide/lease.go
+++ b/internal/tide/lease.go
@@ -15,8 +15,8 @@
 	need  map[string]Ballot // by key, the newest accepted that a quorum told of; nil until there is a quorum
 }
 
-// begLook begins to look at everybody.
-func (r *Replica) begLook(now time.Time) {
+// beginLook begins to look at everybody.
+func (r *Replica) beginLook(now time.Time) {
 	r.lastID++
 	r.looked = now
 	r.look = &look{id: r.lastID, asked: now, own: r.acceptor.Heads(), seen: map[string][]Head{}}
@@ -73,8 +73,8 @@
 	}
 	for key, b := range l.need {
 		if r.set.Reached(func(disk string) bool { return headOf(l.seen[disk], key).Accepted == b }) {
-			r.learn(now, key, b)
 			r.sealing(key, b)
+			r.learn(now, key, b)
 		}
 		if r.look != l {
 			return // the set has changed
--- a/internal/tide/replica.go
+++ b/internal/tide/replica.go
@@ -19,8 +19,10 @@
 	resend    = 250 * time.Millisecond // an ask without an answer is repeated
 	backOff   = 12 * time.Millisecond  // at first, before a ballot that was beaten is followed by a higher one
 	mostBack  = 400 * time.Millisecond
-	lookOften = 300 * time.Millisecond // between two looks of the duty's holder, and of one that has no lease
+	lookOften = 300 * time.Millisecond // at most, between two looks of the duty's holder, and of one that has no lease
 	lookSlow  = 900 * time.Millisecond // of any other
+	oftenPart = 6                      // of a lease that is short: the part of it between two looks, if that is less
+	slowPart  = 2
 	aliveFor  = 2 * time.Second        // after its last word another counts as there
 	stuckFor  = 700 * time.Millisecond // after which what nobody finishes is finished here, if this disk's turn has come
 	stuckTurn = 350 * time.Millisecond // between two disks' turns
@@ -560,8 +562,9 @@
 		return
 	}
 	r.set = *s
-	r.out.Set, r.out.News = s, true
-	r.look, r.lease = nil, time.Time{}
+	set := r.set
+	r.out.Set, r.out.News = &set, true
+	r.look, r.looked = nil, time.Time{} // a lease stays: it is about a moment before
 	clear(r.sealed)
 	for _, m := range r.set.All() {
 		r.Meet(m.Addr)
@@ -594,12 +597,13 @@
 	for _, key := range slices.Sorted(maps.Keys(r.waiting)) {
 		r.waiting[key] = r.late(now, r.waiting[key])
 	}
-	every := lookSlow
-	if r.set.Holder == r.me.Disk || r.Lease(now) < lookSlow {
-		every = lookOften
+	slow := min(lookSlow, r.settings.Lease/slowPart)
+	every := slow
+	if r.set.Holder == r.me.Disk || r.Lease(now) < slow {
+		every = r.often()
 	}
 	if now.Sub(r.looked) >= every {
-		r.begLook(now)
+		r.beginLook(now)
 	}
 	r.unstick(now)
 	return r.take()
@@ -616,9 +620,12 @@
 	})
 }
 
+// often is the time between two looks where much depends on them.
+func (r *Replica) often() time.Duration { return min(lookOften, r.settings.Lease/oftenPart) }
+
 // Due is when a tick is wanted next.
 func (r *Replica) Due(now time.Time) time.Time {
-	due := now.Add(lookOften)
+	due := now.Add(r.often())
 	for _, o := range r.orders {
 		at := o.sent.Add(resend)
 		if o.phase == resting {
