Play what was never acknowledged, a keeper cut off, and a disk of the earlier program

Need: the faults found over real keepers are to be tests. Change: tests; the disk's name, the founding set and what an earlier program left are written in one go (a restart after a configuration on a migrated disk read the old one: found by the test).

--- a/internal/keeper/disk.go
+++ b/internal/keeper/disk.go
@@ -32,7 +32,11 @@
 
 // keep has registers and a set on disk, all or none, when it returns.
 func (d *disk) keep(registers []tide.Register, set *tide.Set) error {
-	records := map[string]any{}
+	return d.write(map[string]any{}, registers, set)
+}
+
+// write is keep with some records more.
+func (d *disk) write(records map[string]any, registers []tide.Register, set *tide.Set) error {
 	for _, r := range registers {
 		records[headPrefix+r.Key] = r.Head
 		if r.Accepted != (tide.Ballot{}) && d.values[r.Key] != r.Accepted {
@@ -54,8 +58,8 @@
 	return nil
 }
 
-// held reads registers and the set from a disk.
-func held(book *logbook.Book) (registers []tide.Register, set tide.Set, err error) {
+// held reads registers and the set from a disk; before tells that an earlier program has left them.
+func held(book *logbook.Book) (registers []tide.Register, set tide.Set, before bool, err error) {
 	values := map[string]accepted{}
 	err = book.Records(valuePrefix, func(name string, decode func(any) error) error {
 		var a accepted
@@ -64,7 +68,7 @@
 		return err
 	})
 	if err != nil {
-		return nil, set, err
+		return nil, set, false, err
 	}
 	err = book.Records(headPrefix, func(name string, decode func(any) error) error {
 		var r tide.Register
@@ -80,13 +84,13 @@
 		return nil
 	})
 	if err != nil {
-		return nil, set, err
+		return nil, set, false, err
 	}
-	known, err := book.Get(epochRecord, &set)
-	if err == nil && !known {
-		registers, set, err = heldBefore(book)
+	if known, err := book.Get(epochRecord, &set); err != nil || known {
+		return registers, set, false, err
 	}
-	return registers, set, err
+	registers, set, err = heldBefore(book)
+	return registers, set, true, err
 }
 
 // heldBefore reads what an earlier program kept: versions by their numbers, without ballots, and a set with a number. The newest of
@@ -110,7 +114,7 @@
 // recall reads what the disk holds, and gives an empty one its name.
 func (k *Keeper) recall() (registers []tide.Register, set tide.Set, me tide.Member, err error) {
 	me = tide.Member{Node: k.s.Node, Addr: Address(k.s.IP, k.s), Zone: k.s.Zone, Counts: k.s.InQuorum}
-	registers, set, err = held(k.disk.book)
+	registers, set, before, err := held(k.disk.book)
 	if err != nil {
 		return nil, set, me, Start.Wrap(err, "registers")
 	}
@@ -118,17 +122,22 @@
 	if err != nil {
 		return nil, set, me, Start.Wrap(err, "name of the disk")
 	}
+	for _, r := range registers {
+		k.disk.values[r.Key] = r.Accepted
+	}
 	if !known {
 		me.Disk = fmt.Sprintf("%s#%016x", k.s.IP, rand.Uint64())
 		if k.s.Bootstrap {
 			set = k.found(&me)
 		}
-		if err := k.disk.book.PutAll(map[string]any{diskRecord: me.Disk, epochRecord: set}); err != nil {
+		if err := k.disk.write(map[string]any{diskRecord: me.Disk}, nil, &set); err != nil {
 			return nil, set, me, Start.Wrap(err, "name of the disk")
 		}
-	}
-	for _, r := range registers {
-		k.disk.values[r.Key] = r.Accepted
+	} else if before { // in the form of this program from now on
+		clear(k.disk.values)
+		if err := k.disk.keep(registers, &set); err != nil {
+			return nil, set, me, Start.Wrap(err, "registers")
+		}
 	}
 	k.log.Info().Str("disk", me.Disk).Bool("empty", !known).Uint64("epoch", set.Epoch).Int("registers", len(registers)).Msg("disk opened")
 	return registers, set, me, nil
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -18,7 +18,9 @@
 	"go.uber.org/goleak"
 
 	"whinknot/internal/berth"
+	"whinknot/internal/logbook"
 	"whinknot/internal/signal"
+	"whinknot/internal/tide"
 )
 
 func TestMain(m *testing.M) {
@@ -80,6 +82,7 @@
 	s := &berth.Settings{
 		Path: "test", Node: fmt.Sprint("core-", i), IP: f.ip(i), Zone: fmt.Sprint("z", i), PortFrom: f.port - 1, PortTo: f.port + 1,
 		Seeds: f.seeds, Bootstrap: first, InQuorum: true, StateDir: f.folder(i, disk), LossMachines: 1,
+		Bounds: berth.Bounds{Ack: 2 * time.Second, Converge: time.Second},
 	}
 	k, err := New(s, zerolog.Nop())
 	if err != nil {
@@ -218,6 +221,96 @@
 	}
 }
 
+// What one disk was asked for alone, and nobody acknowledged, blocks nothing: the content that is acknowledged under its number is
+// acknowledged again wherever it is sent, and read; the other is a conflict everywhere.
+func TestWhatWasNeverAcknowledgedBlocksNothing(t *testing.T) {
+	f := newFleet(t, 3)
+	f.until(0, Order{Kind: PutConfig, Body: config(4)}, 10*time.Second, done)
+	f.stop(1)
+	f.stop(2)
+	never := append(config(5), ' ')
+	if r := f.order(0, Order{Kind: PutConfig, Body: never}); r == nil || r.Status != Unclear {
+		t.Fatalf("one of three: %+v", r)
+	}
+	f.stop(0)
+	f.start(1, false)
+	f.start(2, false)
+	f.until(1, Order{Kind: PutConfig, Body: config(5)}, 10*time.Second, done)
+	f.start(0, false)
+	if r := f.until(0, Order{Kind: PutConfig, Body: config(5)}, 10*time.Second, func(r *Result) bool { return r.Status != Unclear }); r.Status != Done {
+		t.Fatalf("what was acknowledged, sent again to the one that was alone: %+v", r)
+	}
+	for i := range 3 {
+		f.wants(i, 5, 10*time.Second)
+		if r := f.until(i, Order{Kind: PutConfig, Body: never}, 10*time.Second, func(r *Result) bool { return r.Status != Unclear }); r.Status != Conflict {
+			t.Errorf("another content under the number, at %d: %+v", i, r)
+		}
+	}
+}
+
+// A keeper that no quorum answers has no lease once that of its last asking is over: it says so, confirms nothing, refuses nothing that
+// is proper and reads nothing. With the others it has one again, and goes by what they decided meanwhile.
+func TestAKeeperThatIsCutOffSaysSo(t *testing.T) {
+	f := newFleet(t, 3)
+	f.until(0, Order{Kind: PutConfig, Body: config(4)}, 10*time.Second, done)
+	f.lease(0, true)
+	f.stop(1)
+	f.stop(2)
+	f.lease(0, false)
+	for _, o := range []Order{{Kind: PutConfig, Body: config(4)}, {Kind: PutConfig, Body: append(config(4), ' ')}, {Kind: ReadConfig}, {Kind: BeginEvacuation, Zone: "z1"}} {
+		if r := f.order(0, o); r == nil || r.Status != Unclear {
+			t.Errorf("order %d of one that is cut off: %+v", o.Kind, r)
+		}
+	}
+	f.start(1, false)
+	f.until(1, Order{Kind: PutConfig, Body: config(6)}, 10*time.Second, done)
+	f.lease(0, true)
+	f.wants(0, 6, 10*time.Second)
+}
+
+// lease waits until a keeper has a lease, or has none.
+func (f *fleet) lease(i int, want bool) {
+	f.t.Helper()
+	var s *Status
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		var err error
+		if s, err = AskStatus(Address(f.ip(i), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second); err != nil {
+			f.t.Fatal(err)
+		}
+		if s.Lease > 0 == want {
+			return
+		}
+	}
+	f.t.Fatalf("keeper %d: lease %v", i, s.Lease)
+}
+
+// What a disk holds from the program before this one, versions without ballots, is in force after it is started on it.
+func TestADiskOfTheEarlierProgramIsReadOn(t *testing.T) {
+	f := newFleet(t, 0)
+	f.seeds = []string{f.ip(0) + ":1"}
+	book, _, err := logbook.Open(f.folder(0, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := struct {
+		Number  uint64
+		Members []tide.Member
+	}{4, []tide.Member{{Disk: "old", Addr: Address(f.ip(0), &berth.Settings{PortFrom: f.port - 1})}}}
+	err = book.PutAll(map[string]any{diskRecord: "old", oldSet: before})
+	if err == nil {
+		err = book.Entries(tide.Entry{Key: configKey, Stamp: tide.Stamp{Number: 7}, Body: config(7)})
+	}
+	if closed := book.Close(); err != nil || closed != nil {
+		t.Fatal(err, closed)
+	}
+	f.start(0, false)
+	f.wants(0, 7, 10*time.Second)
+	f.until(0, Order{Kind: PutConfig, Body: config(8)}, 10*time.Second, done)
+	f.stop(0)
+	f.start(0, false)
+	f.wants(0, 8, 10*time.Second)
+}
+
 // A core that was killed whole knows what is in force again without any order, and at no time a part of it.
 func TestACoreThatWasKilledKnowsWhatIsInForce(t *testing.T) {
 	f := newFleet(t, 3)
--- a/internal/keeper/verify.go
+++ b/internal/keeper/verify.go
@@ -23,7 +23,7 @@
 func Verify(folder string) (*Contents, error) {
 	c := &Contents{}
 	r, err := logbook.Verify(folder, func(b *logbook.Book) (err error) {
-		if c.Entries, c.Set, err = held(b); err == nil {
+		if c.Entries, c.Set, _, err = held(b); err == nil {
 			_, err = b.Get(diskRecord, &c.Disk)
 		}
 		return err
