--- a/internal/logbook/verify.go
+++ b/internal/logbook/verify.go
@@ -1,7 +1,6 @@
 package logbook
 
 import (
-	"io"
 	"os"
 	"path/filepath"
 
@@ -18,46 +17,26 @@
 	Disk    string // its name
 }
 
-// mostCopied bounds the file that is looked at, in bytes.
-const mostCopied = 1 << 30
-
-// Verify looks at the logbook in a folder and changes nothing: it opens a copy. The records that it knows are named as keepers name them.
+// Verify looks at the logbook in a folder and changes nothing. The records that it knows are named as keepers name them.
 func Verify(folder, diskRecord, setRecord string) (*Report, error) {
-	from, err := os.Open(filepath.Join(folder, file))
+	f, err := os.Open(filepath.Join(folder, file))
 	if err != nil {
 		return nil, Disk.Wrap(err, "open")
 	}
-	defer from.Close()
-	scratch, err := os.MkdirTemp("", "logbook")
-	if err != nil {
-		return nil, Disk.Wrap(err, "folder for the copy")
-	}
-	defer os.RemoveAll(scratch)
-	path := filepath.Join(scratch, file)
-	to, err := os.Create(path)
-	if err != nil {
-		return nil, Disk.Wrap(err, "copy")
-	}
-	r := &Report{}
-	r.Bytes, err = io.Copy(to, io.LimitReader(from, mostCopied+1))
-	if closed := to.Close(); err == nil {
-		err = closed
-	}
+	defer f.Close()
+	text, err := readAll(f)
 	if err != nil {
-		return nil, Disk.Wrap(err, "copy")
+		return nil, err
 	}
-	if r.Bytes > mostCopied {
-		return nil, Disk.New("the file has more than %d bytes", mostCopied)
-	}
-	b, err := open(path)
+	r := &Report{Bytes: int64(len(text))}
+	db, whole, err := load(text)
 	if err != nil {
 		r.Spoilt = err.Error()
 		return r, nil
 	}
+	b := &Book{db: db}
 	defer b.Close()
-	if info, err := os.Stat(path); err == nil {
-		r.Torn = r.Bytes - info.Size()
-	}
+	r.Torn = int64(len(text) - whole)
 	if r.Entries, err = b.Held(); err == nil {
 		_, err = b.Get(diskRecord, &r.Disk)
 	}
