--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -35,17 +35,18 @@
 	recordKey   = "record/"
 
 	mostRead  = 1 << 30  // bytes of a file that is read
-	mostBatch = 64 << 20 // bytes of the records of one write
-	// A file is written anew before it grows beyond growth times what is held, and slack bytes.
-	growth = 2
-	slack  = 4 << 20
+	mostBatch = 48 << 20 // bytes of the records of one write: an operator's largest configuration, and what goes with it
+	// A file is written anew before it grows beyond growth times what is held, and some bytes.
+	growth    = 2
+	mostSlack = 4 << 20
 )
 
 // Book is an open logbook. It is safe for concurrent use.
 type Book struct {
-	db   *buntdb.DB // what is held, in memory
-	tail tail       // by whoever has a transaction that writes
-	live int64      // bytes of a file that holds just what is held; as tail
+	db    *buntdb.DB // what is held, in memory
+	slack int64      // bytes that the file may have beyond growth times what is held
+	tail  tail       // by whoever has a transaction that writes
+	live  int64      // bytes of a file that holds just what is held; as tail
 }
 
 // Open opens the logbook in a folder, which is made if it is not there. Spoilt tells that an earlier one could not be
@@ -54,7 +55,7 @@
 	if err := makeFolder(folder); err != nil {
 		return nil, nil, err
 	}
-	return openOn(system{}, folder)
+	return openOn(system{}, folder, mostSlack)
 }
 
 // makeFolder makes a folder that is not there, and has its name last.
@@ -81,8 +82,8 @@
 	return nil
 }
 
-func openOn(on files, folder string) (b *Book, spoilt error, err error) {
-	b = &Book{tail: tail{on: on, folder: folder}}
+func openOn(on files, folder string, slack int64) (b *Book, spoilt error, err error) {
+	b = &Book{slack: slack, tail: tail{on: on, folder: folder}}
 	text, err := b.tail.read()
 	if err == nil {
 		var whole int
@@ -163,10 +164,11 @@
 			if err := gob.NewEncoder(&text).Encode(values[key]); err != nil {
 				return Unfit.Wrap(err, "encode %s", key)
 			}
-			value := sealed(key, text.Bytes())
-			if records = appendSet(records, key, value); len(records) > mostBatch {
+			if len(records)+text.Len() > mostBatch {
 				return Unfit.New("more than %d bytes with %s", mostBatch, key)
 			}
+			value := sealed(key, text.Bytes())
+			records = appendSet(records, key, value)
 			before, replaced, err := tx.Set(key, value, nil)
 			if err != nil {
 				return Disk.Wrap(err, "memory")
@@ -176,7 +178,7 @@
 			}
 		}
 		write := func() error { return b.tail.append(records) }
-		if b.tail.f == nil || b.tail.size+int64(commitBytes+len(records)) > growth*live+slack {
+		if b.tail.f == nil || b.tail.size+int64(commitBytes+len(records)) > growth*live+b.slack {
 			write = func() error { return b.tail.replace(all(tx)) }
 		}
 		if err := write(); err != nil {
--- a/internal/logbook/logbook_test.go
+++ b/internal/logbook/logbook_test.go
@@ -1,11 +1,16 @@
 package logbook
 
 import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/joomcode/errorx"
+	"github.com/tidwall/buntdb"
 
 	"whinknot/internal/tide"
 )
@@ -52,7 +57,8 @@
 	}
 }
 
-// A write that power cut short is cut off at any byte: what was synced before it is all there.
+// A write that power cut short is cut off at any byte, also where the rest of it reads as zeros, and none of its records is there:
+// what was synced before it is all there, and writing goes on.
 func TestATornTailIsCutOff(t *testing.T) {
 	folder := t.TempDir()
 	fill(t, folder)
@@ -65,25 +71,204 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Entries(entry("config", 4))
+	b.Entries(entry("config", 4), entry("evacuation/south", 1))
 	b.Close()
 	longer, err := os.ReadFile(path)
 	if err != nil || len(longer) <= len(whole) {
 		t.Fatal(len(longer), err)
 	}
 	for cut := len(whole); cut < len(longer); cut++ {
-		if err := os.WriteFile(path, longer[:cut], 0o644); err != nil {
+		zeros := make([]byte, len(longer)-cut)
+		for _, left := range [][]byte{longer[:cut], append(slices.Clone(longer[:cut]), zeros...), append(slices.Clone(longer[:cut]), zeros[0])} {
+			db, at, err := load(left)
+			if err != nil || at != len(whole) {
+				t.Fatalf("cut at %d of %d, %d left: whole to %d, %v", cut, len(longer), len(left), at, err)
+			}
+			db.Close()
+			if cut%10 != 0 {
+				continue
+			}
+			if err := os.WriteFile(path, left, 0o644); err != nil {
+				t.Fatal(err)
+			}
+			b, spoilt, err := openOn(quiet{}, folder, mostSlack)
+			if err != nil || spoilt != nil {
+				t.Fatalf("cut at %d of %d, %d left: %v %v", cut, len(longer), len(left), err, spoilt)
+			}
+			held, err := b.Held()
+			if err != nil || len(held) != 2 || held[0].Stamp.Number != 3 {
+				t.Fatalf("cut at %d: %v %v", cut, held, err)
+			}
+			if err := b.Entries(entry("config", 5)); err != nil {
+				t.Fatal(err)
+			}
+			b.Close()
+			if b, spoilt, err = openOn(quiet{}, folder, mostSlack); err != nil || spoilt != nil {
+				t.Fatalf("cut at %d, then written: %v %v", cut, err, spoilt)
+			}
+			if held, err = b.Held(); err != nil || len(held) != 2 || held[0].Stamp.Number != 5 {
+				t.Fatalf("cut at %d, then written: %v %v", cut, held, err)
+			}
+			b.Close()
+		}
+	}
+}
+
+// Any byte that changed is told, in the last write too; so are zeros in the middle and a part that is gone.
+func TestAnyChangedByteIsTold(t *testing.T) {
+	folder := t.TempDir()
+	fill(t, folder)
+	text, err := os.ReadFile(filepath.Join(folder, file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := func(what string, text []byte) {
+		t.Helper()
+		db, _, err := load(text)
+		if err == nil {
+			db.Close()
+		}
+		if !errorx.IsOfType(err, Spoilt) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	for i := range text {
+		changed := slices.Clone(text)
+		changed[i] ^= 0x40
+		told(fmt.Sprintf("byte %d changed", i), changed)
+	}
+	holed := slices.Clone(text)
+	clear(holed[:commitBytes])
+	told("zeros in the middle", holed)
+	told("a part is gone", append(slices.Clone(text[:commitBytes+9]), text[commitBytes+29:]...))
+}
+
+// A file that an earlier version wrote, by buntdb itself and with no commits, is read, also with a torn end; and buntdb reads ours.
+func TestAFileOfAnEarlierVersionIsRead(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, file)
+	db, err := buntdb.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := func(key string, v any) {
+		var text bytes.Buffer
+		if err := gob.NewEncoder(&text).Encode(v); err != nil {
 			t.Fatal(err)
 		}
-		b, spoilt, err := Open(folder)
-		if err != nil || spoilt != nil {
-			t.Fatalf("cut at %d of %d: %v %v", cut, len(longer), err, spoilt)
+		err := db.Update(func(tx *buntdb.Tx) error {
+			_, _, err := tx.Set(key, sealed(key, text.Bytes()), nil)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	set(recordKey+"disk", "d#1")
+	set(entryPrefix+"config", entry("config", 3))
+	if err := db.Close(); err != nil {
+		t.Fatal(err)
+	}
+	before, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if db, err = buntdb.Open(path); err != nil {
+		t.Fatal(err)
+	}
+	set(entryPrefix+"config", entry("config", 4))
+	if err := db.Close(); err != nil {
+		t.Fatal(err)
+	}
+	after, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := len(before); cut <= len(after); cut++ {
+		want := uint64(3)
+		if cut == len(after) {
+			want = 4
+		}
+		for _, left := range [][]byte{after[:cut], append(slices.Clone(after[:cut]), make([]byte, len(after)-cut)...)} {
+			if err := os.WriteFile(path, left, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			b, spoilt, err := openOn(quiet{}, folder, mostSlack)
+			if err != nil || spoilt != nil {
+				t.Fatalf("cut at %d: %v %v", cut, err, spoilt)
+			}
+			var disk string
+			held, err := b.Held()
+			if ok, failed := b.Get("disk", &disk); err != nil || failed != nil || !ok || disk != "d#1" || len(held) != 1 || held[0].Stamp.Number != want {
+				t.Fatalf("cut at %d: %v %v %v %q", cut, err, failed, held, disk)
+			}
+			if err := b.Put("later", "x"); err != nil {
+				t.Fatal(err)
+			}
+			b.Close()
+		}
+	}
+	if db, err = buntdb.Open(path); err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	err = db.View(func(tx *buntdb.Tx) error {
+		_, err := tx.Get(recordKey + "later")
+		return err
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// Records come by name, those that begin so only, and may be written meanwhile; one that can't be kept leaves all as it was.
+func TestRecordsAreKeptTogether(t *testing.T) {
+	folder := t.TempDir()
+	b, _, err := Open(filepath.Join(folder, "new", "folder"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	if err := b.PutAll(map[string]any{"register/b": 2, "register/a": 1, "registry": 9}); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.PutAll(map[string]any{"register/a": 7, "register/c": make(chan int)}); !errorx.IsOfType(err, Unfit) {
+		t.Errorf("a channel is kept: %v", err)
+	}
+	if err := b.Put("large", make([]byte, mostBatch)); !errorx.IsOfType(err, Unfit) {
+		t.Errorf("a record of any size is kept: %v", err)
+	}
+	var names []string
+	sum := 0
+	err = b.Records("register/", func(name string, decode func(any) error) error {
+		var n int
+		if err := decode(&n); err != nil {
+			return err
+		}
+		names, sum = append(names, name), sum*10+n
+		return b.Put(name, n+1)
+	})
+	if err != nil || !slices.Equal(names, []string{"register/a", "register/b"}) || sum != 12 {
+		t.Errorf("%v %v %d", err, names, sum)
+	}
+}
+
+// However often a record is changed, the file stays within its bound.
+func TestTheFileIsBounded(t *testing.T) {
+	folder := t.TempDir()
+	b, _, err := openOn(quiet{}, folder, 10_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	for i := range 500 {
+		if err := b.Put("config", bytes.Repeat([]byte{byte(i)}, 3000+i)); err != nil {
+			t.Fatal(err)
 		}
-		held, err := b.Held()
-		if err != nil || len(held) != 2 || held[0].Stamp.Number != 3 {
-			t.Fatalf("cut at %d: %v %v", cut, held, err)
+		info, err := os.Stat(filepath.Join(folder, file))
+		if err != nil || info.Size() > growth*3700+10_000 {
+			t.Fatalf("after %d changes: %d bytes, %v", i+1, info.Size(), err)
 		}
-		b.Close()
 	}
 }
 
