--- a/internal/logbook/batch.go
+++ b/internal/logbook/batch.go
@@ -14,6 +14,7 @@
 //
 //	commit  8 bytes seal of the key and the rest | 8 offset in the file | 8 bytes of records that follow | 8 their checksum
 //
+// A file begins with a snapshot, which ends with a batch of no records and was synced before the file got its name.
 // Files of earlier versions have records without a commit, each sealed by itself. They are read, and batches may follow them.
 const (
 	commitKey   = "commit"
@@ -86,9 +87,22 @@
 // scan reads batches from the start of a file, and tells up to where they are whole. What is after that was torn when power was
 // lost and never confirmed; an error tells what no loss of power leaves.
 //
-// Only the last write can be torn, as each is synced before the next begins. Of it, any sector may be absent, which reads as
+// Only the last append can be torn, as each is synced before the next begins. Of it, any sector may be absent, which reads as
 // zeros, and any part of its end; what is present is as it was written.
 func scan(text []byte, each func(records []byte) error) (whole int, err error) {
+	inSnapshot := true
+	whole, err = batches(text, func(records []byte, sealed bool) error {
+		inSnapshot = inSnapshot && sealed && len(records) > 0
+		return each(records)
+	})
+	if err == nil && inSnapshot && len(text) > 0 {
+		err = Spoilt.New("the file ends within its snapshot, at byte %d", whole)
+	}
+	return whole, err
+}
+
+// batches is scan without regard to the snapshot; sealed tells that records have a commit.
+func batches(text []byte, each func(records []byte, sealed bool) error) (whole int, err error) {
 	for whole < len(text) {
 		rest := len(text) - whole
 		if rest < commitBytes {
@@ -101,7 +115,7 @@
 				return whole, nil
 			}
 			if n > 0 {
-				if err := each(text[whole : whole+n]); err != nil {
+				if err := each(text[whole:whole+n], false); err != nil {
 					return whole, Spoilt.Wrap(err, "the record at byte %d", whole)
 				}
 				whole += n
@@ -126,7 +140,7 @@
 			}
 			return whole, nil
 		}
-		if err := each(records); err != nil {
+		if err := each(records, true); err != nil {
 			return whole, Spoilt.Wrap(err, "the batch at byte %d", whole)
 		}
 		whole = end
--- a/internal/logbook/logbook_test.go
+++ b/internal/logbook/logbook_test.go
@@ -140,7 +140,20 @@
 	holed := slices.Clone(text)
 	clear(holed[:commitBytes])
 	told("zeros in the middle", holed)
-	var long []byte
+	snapshot := 0
+	for at := range text {
+		if n, _, ok := commit(text, at); ok && n == 0 {
+			snapshot = at + commitBytes
+		}
+	}
+	if snapshot == 0 || snapshot == len(text) {
+		t.Fatalf("%d of %d bytes are a snapshot", snapshot, len(text))
+	}
+	for cut := 1; cut < snapshot; cut++ {
+		told(fmt.Sprintf("a snapshot cut at %d", cut), text[:cut])
+		told(fmt.Sprintf("a snapshot of zeros from %d", cut), append(slices.Clone(text[:cut]), make([]byte, snapshot-cut)...))
+	}
+	long := slices.Clone(text)
 	for i := range 3 {
 		long = append(long, batch(int64(len(long)), appendSet(nil, "key", sealed("key", bytes.Repeat([]byte{'a' + byte(i)}, 600))))...)
 	}
@@ -149,9 +162,11 @@
 	} else {
 		db.Close()
 	}
-	told("a write is gone", long[len(long)/3:])
-	told("a write is gone in the middle", append(slices.Clone(long[:len(long)/3]), long[len(long)/3*2:]...))
-	clear(long[:sector])
+	each := (len(long) - len(text)) / 3
+	told("the first write is gone", long[len(text):])
+	told("a write is gone in the middle", append(slices.Clone(long[:len(text)]), long[len(text)+each:]...))
+	next := len(text) + each
+	clear(long[next : (next/sector+1)*sector])
 	told("a sector of zeros in the middle", long)
 	told("a part is gone", append(slices.Clone(text[:commitBytes+9]), text[commitBytes+29:]...))
 }
--- a/internal/logbook/tail.go
+++ b/internal/logbook/tail.go
@@ -109,12 +109,15 @@
 	}
 	var size int64
 	to := bufio.NewWriterSize(f, 1<<16)
-	err = records(func(r []byte) error {
+	add := func(r []byte) error {
 		text := batch(size, r)
 		size += int64(len(text))
 		_, err := to.Write(text)
 		return err
-	})
+	}
+	if err = records(add); err == nil {
+		err = add(nil) // the end of the snapshot
+	}
 	if err == nil {
 		err = to.Flush()
 	}
