--- a/internal/keeper/disk.go
+++ b/internal/keeper/disk.go
@@ -93,6 +93,12 @@
 	return registers, set, true, err
 }
 
+// earlier is one version of a key as an earlier program kept it.
+type earlier struct {
+	Stamp tide.Stamp
+	Body  []byte
+}
+
 // heldBefore reads what an earlier program kept: versions by their numbers, without ballots, and a set with a number. The newest of
 // what a majority tells is the highest ballot then, as it was the highest number before.
 func heldBefore(book *logbook.Book) (registers []tide.Register, set tide.Set, err error) {
@@ -103,16 +109,21 @@
 	if known, err := book.Get(oldSet, &old); err != nil || !known {
 		return nil, set, err
 	}
-	entries, err := book.Held()
-	for _, e := range entries {
+	err = book.Before(func(key string, decode func(any) error) error {
+		var e earlier
+		if err := decode(&e); err != nil {
+			return err
+		}
 		at := tide.Ballot{Round: e.Stamp.Number, Disk: fmt.Sprintf("%s %016x", e.Stamp.By, tide.Sum(e.Body))}
-		registers = append(registers, tide.Register{Head: tide.Head{Key: e.Key, Promised: at, Accepted: at}, Value: tide.Value{Stamp: e.Stamp, Body: e.Body}})
-	}
+		registers = append(registers, tide.Register{Head: tide.Head{Key: key, Promised: at, Accepted: at}, Value: tide.Value{Stamp: e.Stamp, Body: e.Body}})
+		return nil
+	})
 	return registers, tide.Set{Epoch: old.Number, Members: old.Members}, err
 }
 
-// recall reads what the disk holds, and gives an empty one its name.
-func (k *Keeper) recall() (registers []tide.Register, set tide.Set, me tide.Member, err error) {
+// recall reads what the disk holds, and gives an empty one its name. One that was lost is none of the first set's, whatever the settings
+// say: its name would vouch for what it held.
+func (k *Keeper) recall(lost bool) (registers []tide.Register, set tide.Set, me tide.Member, err error) {
 	me = tide.Member{Node: k.s.Node, Addr: Address(k.s.IP, k.s), Zone: k.s.Zone, Counts: k.s.InQuorum}
 	registers, set, before, err := held(k.disk.book)
 	if err != nil {
@@ -127,7 +138,7 @@
 	}
 	if !known {
 		me.Disk = fmt.Sprintf("%s#%016x", k.s.IP, rand.Uint64())
-		if k.s.Bootstrap {
+		if k.s.Bootstrap && !lost {
 			set = k.found(&me)
 		}
 		if err := k.disk.write(map[string]any{diskRecord: me.Disk}, nil, &set); err != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -90,7 +90,7 @@
 		s: s, log: log, disk: disk{book, map[string]tide.Ballot{}}, loop: shore.NewLoop(256), peers: map[string]*signal.Outbox{},
 		orders: map[uint64]func(tide.Result){}, boats: map[*signal.Outbox]bool{},
 	}
-	registers, set, me, err := k.recall()
+	registers, set, me, err := k.recall(spoilt != nil)
 	if err != nil {
 		book.Close()
 		return nil, err
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -18,9 +18,7 @@
 	"go.uber.org/goleak"
 
 	"whinknot/internal/berth"
-	"whinknot/internal/logbook"
 	"whinknot/internal/signal"
-	"whinknot/internal/tide"
 )
 
 func TestMain(m *testing.M) {
@@ -284,29 +282,22 @@
 	f.t.Fatalf("keeper %d: lease %v", i, s.Lease)
 }
 
-// What a disk holds from the program before this one, versions without ballots, is in force after it is started on it.
+// What a disk holds from the program before this one, versions without ballots, is in force after it is started on it. The file in
+// testdata was written by that program.
 func TestADiskOfTheEarlierProgramIsReadOn(t *testing.T) {
 	f := newFleet(t, 0)
 	f.seeds = []string{f.ip(0) + ":1"}
-	book, _, err := logbook.Open(f.folder(0, 0))
-	if err != nil {
+	if err := os.CopyFS(f.folder(0, 0), os.DirFS("testdata/earlier")); err != nil {
 		t.Fatal(err)
 	}
-	before := struct {
-		Number  uint64
-		Members []tide.Member
-	}{4, []tide.Member{{Disk: "old", Addr: Address(f.ip(0), &berth.Settings{PortFrom: f.port - 1})}}}
-	err = book.PutAll(map[string]any{diskRecord: "old", oldSet: before})
-	if err == nil {
-		err = book.Entries(tide.Entry{Key: configKey, Stamp: tide.Stamp{Number: 7}, Body: config(7)})
-	}
-	if closed := book.Close(); err != nil || closed != nil {
-		t.Fatal(err, closed)
-	}
 	f.start(0, false)
 	f.wants(0, 7, 10*time.Second)
 	f.until(0, Order{Kind: PutConfig, Body: config(8)}, 10*time.Second, done)
 	f.stop(0)
+	c, err := Verify(f.folder(0, 0))
+	if err != nil || len(c.Faults) > 0 || len(c.Entries) != 2 || string(c.Entries[1].Value.Body) != evacuated {
+		t.Errorf("%v, %+v", err, c)
+	}
 	f.start(0, false)
 	f.wants(0, 8, 10*time.Second)
 }
@@ -388,6 +379,26 @@
 	}
 }
 
+// A disk that was lost to a spoilt file is another one, also where the settings still say that this is the first start: its old name would
+// vouch for what it held.
+func TestASpoiltDiskDoesNotTakeItsNameAgain(t *testing.T) {
+	f := newFleet(t, 1)
+	f.until(0, Order{Kind: PutConfig, Body: config(5)}, 10*time.Second, done)
+	f.stop(0)
+	path := filepath.Join(f.folder(0, 0), "logbook.db")
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = os.WriteFile(path, bytes.Replace(text, []byte("a.example"), []byte("b.example"), 1), 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.start(0, true)
+	if s, err := AskStatus(Address(f.ip(0), &berth.Settings{PortFrom: f.port - 1}), 5*time.Second); err != nil || s.Disk == f.ip(0)+"#first" || s.Counts {
+		t.Errorf("%v, %+v", err, s)
+	}
+}
+
 // counted waits until a keeper's present disk counts: the set at the others names it, and is not on its way to another.
 func (f *fleet) counted(i int, within time.Duration) {
 	f.t.Helper()
