Take no more from a look that has shown the next set; go through keys in order

Keys were gone through in the order of a map, so that the same input gave different outputs; only the first key that was not known to be chosen was noted as stuck. Change: the look is left as soon as it is not the one under way; keys in order; all that are missing are noted at once.

--- a/internal/tide/lease.go
+++ b/internal/tide/lease.go
@@ -1,6 +1,7 @@
 package tide
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -71,14 +72,15 @@
 			}
 		}
 	}
-	for key, b := range l.need {
-		if r.set.Reached(func(disk string) bool { return headOf(l.seen[disk], key).Accepted == b }) {
-			r.learn(now, key, b)
-			r.sealing(key, b)
+	for _, key := range slices.Sorted(maps.Keys(l.need)) {
+		b := l.need[key]
+		if !r.set.Reached(func(disk string) bool { return headOf(l.seen[disk], key).Accepted == b }) {
+			continue
 		}
-		if r.look != l {
+		if r.learn(now, key, b); r.look != l {
 			return // the set has changed
 		}
+		r.sealing(key, b)
 	}
 	r.satisfied(now)
 }
@@ -117,14 +119,18 @@
 	if l == nil || l.need == nil {
 		return
 	}
+	missing := false
 	for key, b := range l.need {
 		if r.chosen[key].Accepted.Compare(b) < 0 {
+			missing = true
 			if _, ok := r.stuck[key]; !ok {
 				r.stuck[key] = now
 			}
-			return
 		}
 	}
+	if missing {
+		return
+	}
 	if until := l.asked.Add(r.settings.Lease); until.After(r.lease) {
 		if r.lease.Before(now) {
 			r.out.News = true
@@ -136,8 +142,8 @@
 // unstick decides anew what stays undecided: its proposer is gone, perhaps.
 func (r *Replica) unstick(now time.Time) {
 	turn := stuckFor + time.Duration(r.place())*stuckTurn
-	for key, since := range r.stuck {
-		if now.Sub(since) < turn {
+	for _, key := range slices.Sorted(maps.Keys(r.stuck)) {
+		if now.Sub(r.stuck[key]) < turn {
 			continue
 		}
 		r.stuck[key] = now
