Have an order take effect once, also when a try of it was chosen unknown to it

Cause: a try whose accepting was overtaken may be finished by another. A swap in the same place was refused although it had been in force. Change: an order remembers the stamps that its tries drew (Change.Tried), a register the last 64 of its values (as configurations had already); a try that finds one of its stamps there changes nothing and is acknowledged.

--- a/internal/tide/ballot.go
+++ b/internal/tide/ballot.go
@@ -38,7 +38,7 @@
 	return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.By, b.By))
 }
 
-// Past names a value that was chosen once: its number, and a digest of its body.
+// Past names a value that was chosen once: its number, and a digest of its body (and of who drew the number, if it was drawn).
 type Past struct{ Number, Sum uint64 }
 
 // mostPast bounds what a register remembers of its earlier values.
@@ -48,7 +48,7 @@
 type Value struct {
 	Stamp Stamp
 	Body  []byte
-	Past  []Past // of values that operators number: the newest, with this one last
+	Past  []Past // the newest, with this one last; none in the register of the set
 	Set   *Set   // in the register of the set alone
 }
 
--- a/internal/tide/change.go
+++ b/internal/tide/change.go
@@ -29,6 +29,9 @@
 	Body  []byte
 	By    string // the disk that draws a number
 	Set   *Set   // of Succeed
+	// Tried are the stamps that earlier tries of this very order drew. Each may have been chosen without its proposer's knowing, and
+	// followed by others since.
+	Tried []Stamp
 }
 
 // Outcome is what became of a change.
@@ -48,10 +51,10 @@
 	case Replace:
 		return c.replace(held)
 	case Assign:
-		if held != nil && bytes.Equal(held.Body, c.Body) {
+		if c.applied(held) || held != nil && bytes.Equal(held.Body, c.Body) {
 			return held, Done
 		}
-		return &Value{Stamp: Stamp{number(held) + 1, c.By}, Body: c.Body}, Done
+		return c.follow(held, Stamp{number(held) + 1, c.By}), Done
 	case Swap:
 		base, after := Stamp{}, Stamp{c.Stamp.Number + 1, c.By}
 		if held != nil {
@@ -59,8 +62,8 @@
 		}
 		switch {
 		case base == c.Stamp:
-			return &Value{Stamp: after, Body: c.Body}, Done
-		case base == after && bytes.Equal(held.Body, c.Body):
+			return c.follow(held, after), Done
+		case base == after && bytes.Equal(held.Body, c.Body) || c.applied(held):
 			return held, Done
 		}
 		return held, Conflict
@@ -81,18 +84,38 @@
 func (c *Change) replace(held *Value) (*Value, Outcome) {
 	switch {
 	case held == nil || c.Stamp.Number > held.Stamp.Number:
-		v := &Value{Stamp: c.Stamp, Body: c.Body}
-		if held != nil {
-			v.Past = slices.Clone(held.Past[max(0, len(held.Past)-mostPast+1):])
-		}
-		v.Past = append(v.Past, Past{c.Stamp.Number, Sum(c.Body)})
-		return v, Done
+		return c.follow(held, c.Stamp), Done
 	case c.Stamp.Number == held.Stamp.Number && !bytes.Equal(c.Body, held.Body):
 		return held, Conflict
 	}
 	return held, Done
 }
 
+// follow is the value that the change puts in the place of another.
+func (c *Change) follow(held *Value, s Stamp) *Value {
+	v := &Value{Stamp: s, Body: c.Body}
+	if held != nil {
+		v.Past = slices.Clone(held.Past[max(0, len(held.Past)-mostPast+1):])
+	}
+	v.Past = append(v.Past, c.past(s))
+	return v
+}
+
+// past is what a register remembers of the value that this change makes. Numbers that operators give need no more than the content,
+// those that are drawn may be drawn by two at once.
+func (c *Change) past(s Stamp) Past {
+	if s.By == "" {
+		return Past{s.Number, Sum(c.Body)}
+	}
+	return Past{s.Number, Sum(slices.Concat([]byte(s.By), []byte{0}, c.Body))}
+}
+
+// applied tells whether an earlier try of this order was chosen, whatever followed it. A register that was changed more often since
+// than it remembers tells nothing; an order has no time for so many.
+func (c *Change) applied(held *Value) bool {
+	return held != nil && slices.ContainsFunc(c.Tried, func(s Stamp) bool { return slices.Contains(held.Past, c.past(s)) })
+}
+
 func number(v *Value) uint64 {
 	if v == nil {
 		return 0
--- a/internal/tide/replica.go
+++ b/internal/tide/replica.go
@@ -479,7 +479,10 @@
 			continue
 		}
 		next, end := x.change.Apply(held)
-		x.end = Result{Outcome: end, Altered: next != held}
+		x.end = Result{Outcome: end, Altered: next != held || x.change.applied(held)}
+		if next != held && next.Stamp.By != "" {
+			x.change.Tried = append(x.change.Tried, next.Stamp)
+		}
 		o.anew, held = o.anew || next != held, next
 	}
 	if held == nil { // nothing is chosen, and nothing is to be: who promised will not hear of a lower ballot
