--- /dev/null
+++ b/internal/explore/draw.go
@@ -0,0 +1,80 @@
+package explore
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Draw draws a run from a seed: from one machine to eleven, mostly three or five.
+func Draw(seed uint64) Plan {
+	lot := rand.New(rand.NewPCG(seed, 1))
+	p := Plan{Seed: seed, Seeds: []int{1, 3, 3, 3, 3, 3, 3, 5, 5, 7}[lot.IntN(10)]}
+	p.Machines = p.Seeds + []int{0, 0, 0, 1, 1, 2, 4}[lot.IntN(7)]
+	p.Losses = (p.Seeds - 1) / 2
+	p.End = time.Duration(4+lot.IntN(7)) * time.Second
+	moment := func() time.Duration { return time.Duration(lot.Int64N(int64(p.End))) }
+	for range lot.IntN(9) {
+		t := Trouble{Kind: kinds[lot.IntN(len(kinds))], At: moment(), Who: lot.IntN(p.Machines), Count: 1 + lot.IntN(p.Losses+1)}
+		if h := hows[t.Kind]; h != nil {
+			t.How = h[lot.IntN(len(h))]
+		}
+		t.For = min([]time.Duration{20, 200, 1000, 3000}[lot.IntN(4)]*time.Millisecond/2*time.Duration(1+lot.IntN(2)), p.End-t.At)
+		p.Troubles = append(p.Troubles, t)
+	}
+	p.Orders = orders(lot, p, moment)
+	return p
+}
+
+// orders draws what operators order: configurations whose numbers rise, two on one number, older ones again; evacuations; removals;
+// readings.
+func orders(lot *rand.Rand, p Plan, moment func() time.Duration) []Order {
+	var out []Order
+	add := func(at time.Duration, kind, key string, number uint64, body string) {
+		o := Order{At: at, Kind: kind, Key: key, Number: number, Body: body}
+		for range 1 + lot.IntN(4) {
+			o.To = append(o.To, lot.IntN(p.Machines))
+		}
+		out = append(out, o)
+	}
+	number := uint64(0)
+	var times []time.Duration
+	for range 2 + lot.IntN(12) {
+		times = append(times, moment())
+	}
+	if lot.IntN(6) == 0 { // a storm
+		at := moment()
+		for i := range 15 {
+			times = append(times, at+time.Duration(i*lot.IntN(30))*time.Millisecond)
+		}
+	}
+	slices.Sort(times)
+	for _, at := range times {
+		number += 1 + uint64(lot.IntN(2))
+		add(at, "put", "config", number, fmt.Sprintf("r%d/A", number))
+		switch lot.IntN(6) {
+		case 0, 1: // a race
+			add(at+time.Duration(lot.Int64N(int64(20*time.Millisecond))), "put", "config", number, fmt.Sprintf("r%d/B", number))
+		case 2: // again, later
+			add(at+time.Duration(lot.Int64N(int64(2*time.Second))), "put", "config", number, fmt.Sprintf("r%d/A", number))
+		case 3: // a late one
+			add(at+time.Duration(lot.Int64N(int64(time.Second))), "put", "config", 1+uint64(lot.IntN(int(number))), fmt.Sprintf("late/%d", number))
+		}
+	}
+	for i := range lot.IntN(10) {
+		zone := fmt.Sprintf("evacuation/z%d", lot.IntN(2))
+		body := fmt.Sprintf("o%d", i)
+		if lot.IntN(3) == 0 {
+			body = []string{"on", "off"}[lot.IntN(2)]
+		}
+		add(moment(), "assign", zone, 0, body)
+	}
+	for i := range lot.IntN(6) {
+		add(moment(), "swap", "removals", 0, fmt.Sprintf("s%d", i))
+	}
+	for range 2 + lot.IntN(10) {
+		add(moment(), "read", []string{"config", "config", "evacuation/z0", "removals"}[lot.IntN(4)], 0, "")
+	}
+	return out
+}
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -63,14 +63,15 @@
 
 // Report is what became of a run.
 type Report struct {
-	Faults []string // what must not be; empty if all held
-	Going  time.Duration
-	Epochs uint64
-	Events int
-	Orders int // with an outcome
-	Tries  int
-	States map[uint64]bool // digests of the states that were reached, if asked for
-	Whole  []time.Duration // from each loss of a disk that counted to a set without it, as large as before
+	Faults           []string // what must not be; empty if all held
+	Going            time.Duration
+	Epochs           uint64
+	Events           int
+	Orders           int // with an outcome
+	Tries            int
+	Judged, Unjudged int             // histories of a key that were searched for a linear order, and those that had too many tries without an answer
+	States           map[uint64]bool // digests of the states that were reached, if asked for
+	Whole            []time.Duration // from each loss of a disk that counted to a set without it, as large as before
 }
 
 // Kind is the first fault's, without its figures.
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -1,6 +1,9 @@
 package explore
 
 import (
+	"flag"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -19,3 +22,43 @@
 		t.Logf("%d machines: going after %v, epoch %d, %d events, %d orders", n, r.Going, r.Epochs, r.Events, r.Orders)
 	}
 }
+
+var runs = flag.Int("runs", 300, "runs that are played")
+var first = flag.Uint64("first", 1, "the seed of the first")
+
+// TestTroubles plays runs drawn from seeds.
+func TestTroubles(t *testing.T) {
+	var all Report
+	began := time.Now()
+	failed := hunt(*first, *runs, hooks{}, 5, &all)
+	t.Logf("%d runs in %v: %d events, %d answers, %d histories searched, %d not; slowest going after %v", *runs, time.Since(began), all.Events, all.Orders, all.Judged, all.Unjudged, all.Going)
+	for _, f := range failed {
+		t.Error(f)
+	}
+}
+
+// hunt plays runs until some have failed, and makes those smaller.
+func hunt(first uint64, runs int, h hooks, most int, all *Report) (found []string) {
+	for seed := first; seed < first+uint64(runs); seed++ {
+		p := Draw(seed)
+		r := play(p, h)
+		all.Events += r.Events
+		all.Orders += r.Orders
+		all.Judged += r.Judged
+		all.Unjudged += r.Unjudged
+		all.Whole = append(all.Whole, r.Whole...)
+		if r.Going > all.Going {
+			all.Going, all.Epochs = r.Going, seed
+		}
+		if len(r.Faults) == 0 {
+			continue
+		}
+		kind := r.Kind()
+		p = Shrink(p, func(p Plan) bool { return play(p, h).Kind() == kind })
+		found = append(found, fmt.Sprintf("%v%v", p, strings.Join(play(p, h).Faults, "\n")))
+		if len(found) == most {
+			break
+		}
+	}
+	return found
+}
