Hand out what was ordered only under a lease counted from when the asking left

Cause: a lighthouse believed its keeper's last word for as long as the connection held: cut off or frozen, it told new pilots what was in force long before, and words that waited in its queues and socket counted as new. Change: internal/lease, a pure machine: beats are numbered, a lease runs from when the newest answered beat left, plus what was left of the keeper's; each use asks the clock. Words to pilots are looked at again when their turn to be sent comes (signal.Late); without a lease they hold no orders, and these are told anew once there is one. A lighthouse's own knowledge only rises. A pilot's chart room judges words of orders in one place: under a lease and of no older epoch, or from a pilot that is certain; a new pilot that reaches nobody with contact for config_converge_s + contact_s asks for the last that is known, goes by the newest, says so, and leaves it when one with contact speaks. While no lighthouse that it holds has contact, it tries those farther away. Gates refuse an evacuation with a lower number. Tests: orders in lamp_test and path_test are settled now, as only these count; pier_test numbers its evacuations; both as strict as before.

--- a/internal/lamp/lamp.go
+++ b/internal/lamp/lamp.go
@@ -1,6 +1,6 @@
 // Package lamp is how news reaches pilots: numbered changes down held connections, a whole picture first, acknowledged and
 // counted. What a pilot holds never goes back: of a node the newer sheet stays, of the configuration the higher version, of
-// a zone the higher stamp. It is pure.
+// a zone the higher stamp. What was ordered is gone by on the word of those that had contact with a majority. It is pure.
 package lamp
 
 import (
@@ -11,7 +11,6 @@
 	"whinknot/internal/beacon"
 	"whinknot/internal/keeper"
 	"whinknot/internal/muster"
-	"whinknot/internal/tide"
 )
 
 // Hello is the first message of a connection to a lighthouse.
@@ -30,6 +29,7 @@
 	Main     bool             // it is to be told who is there, and configurations are to be sent to it whole, before it asks
 	Opinions []muster.Opinion // of lives that it finds unwell, and of those that it is asked about
 	Want     bool             // it lacks the configuration that it was told the version of
+	Last     bool             // nobody with contact has told it a configuration for long: it asks for the last that is known, by whomever
 }
 
 // Down is what a lighthouse says to a pilot. Without a number it only says that it is there.
@@ -37,12 +37,12 @@
 	Number  uint64
 	Whole   bool // Nodes are all that there are
 	Nodes   []beacon.Known
-	Gone    []string // nodes forgotten
-	InForce *keeper.InForce
-	Core    []Machine // machines of the core
-	Outlive uint64    // a life of this pilot that is newer by its number than the one it says: its clock went back
-	Asked   *Question // if another one than before
-	Sighted bool      // this lighthouse sees most of the core: what it calls dark is dark
+	Gone    []string        // nodes forgotten
+	InForce *keeper.InForce // Settled if it is said under a lease; else only to one that asks for the last that is known
+	Core    []Machine       // machines of the core
+	Outlive uint64          // a life of this pilot that is newer by its number than the one it says: its clock went back
+	Asked   *Question       // if another one than before
+	Sighted bool            // this lighthouse has contact with a majority of the core: what it calls dark is dark
 }
 
 // Question names the lives that some pilot finds unwell: each pilot is to say what it has seen of them.
@@ -66,16 +66,25 @@
 type Chartroom struct {
 	views    map[string]map[string]beacon.Known // by lighthouse, by node
 	sighted  map[string]bool
-	newest   map[string]uint64 // by lighthouse, the version that it named last
+	behind   map[string]bool   // lighthouses whose last order was of an older epoch
+	newest   map[string]uint64 // by lighthouse, the version that it named last under a lease
 	nodes    map[string]*entry
-	config   []byte
-	version  uint64
-	zones    map[string]keeper.Evacuation
-	removals []muster.Removal
-	removed  tide.Stamp
-	keep     time.Duration
+	orders   *Orders // gone by
+	hearsay  *Orders // told by those without contact
+	standing Standing
+	alone    time.Time // the last time that a lighthouse with contact was reached, or the start
+	bounds   Bounds
 }
 
+// Bounds are times that a Chartroom goes by.
+type Bounds struct {
+	Keep     time.Duration // a node that no lighthouse names any more is kept for so long
+	Patience time.Duration // with no word of anybody with contact; then the last that anybody knows is gone by
+}
+
+// gather is how long before the patience ends the last that is known is asked for.
+const gather = time.Second
+
 // Node is what a pilot knows of another.
 type Node struct {
 	beacon.Known
@@ -89,10 +98,10 @@
 
 // NewChartroom makes an empty one. A node that no lighthouse names any more is kept for a time: one that has just started
 // does not know all yet.
-func NewChartroom(keep time.Duration) *Chartroom {
+func NewChartroom(now time.Time, b Bounds) *Chartroom {
 	return &Chartroom{
-		views: map[string]map[string]beacon.Known{}, sighted: map[string]bool{}, newest: map[string]uint64{}, nodes: map[string]*entry{},
-		zones: map[string]keeper.Evacuation{}, keep: keep,
+		views: map[string]map[string]beacon.Known{}, sighted: map[string]bool{}, behind: map[string]bool{}, newest: map[string]uint64{},
+		nodes: map[string]*entry{}, orders: NewOrders(), hearsay: NewOrders(), alone: now, bounds: b,
 	}
 }
 
@@ -119,40 +128,17 @@
 	}
 	ch.Nodes = c.Merge(now)
 	if d.InForce != nil {
-		c.newest[from] = d.InForce.Version
-		more := c.Ordered(d.InForce)
-		ch.Config, ch.Zones = more.Config, more.Zones
-	}
-	return ch
-}
-
-// Ordered takes what is in force, as far as it is newer.
-func (c *Chartroom) Ordered(f *keeper.InForce) (ch Change) {
-	if len(f.Config) > 0 && f.Version > c.version {
-		c.config, c.version, ch.Config = f.Config, f.Version, true
-	}
-	for _, e := range f.Evacuations {
-		if old, ok := c.zones[e.Zone]; !ok || e.Stamp.Compare(old.Stamp) > 0 {
-			c.zones[e.Zone] = e
-			ch.Zones = ch.Zones || e.On != old.On
+		more := c.Ordered(Lighthouse, d.InForce)
+		if d.InForce.Settled {
+			if c.behind[from] = d.InForce.Epoch < c.orders.epoch; !c.behind[from] {
+				c.newest[from] = d.InForce.Version
+			}
 		}
-	}
-	if f.Removed.Compare(c.removed) > 0 {
-		c.removals, c.removed, ch.Zones = f.Removals, f.Removed, true
+		ch.Config, ch.Zones = more.Config, more.Zones
 	}
 	return ch
 }
 
-// Removal is the order about a life; ok is false for none.
-func (c *Chartroom) Removal(life string) (r muster.Removal, ok bool) {
-	for _, r := range c.removals {
-		if r.Life == life {
-			return r, true
-		}
-	}
-	return r, false
-}
-
 // Told takes what another pilot holds of who is there, as no lighthouse can be reached. It lasts for as long as it is told.
 func (c *Chartroom) Told(now time.Time, nodes []Node) (changed bool) {
 	for _, n := range nodes {
@@ -173,11 +159,13 @@
 		delete(c.views, from)
 	}
 	delete(c.sighted, from)
+	delete(c.behind, from)
+	delete(c.newest, from)
 	return c.Merge(now)
 }
 
-// Sighted tells whether a lighthouse sees most of the core, as it said last.
-func (c *Chartroom) Sighted(from string) bool { return c.sighted[from] }
+// Sighted tells whether a lighthouse has contact with a majority of the core, as it said last, and not by an older epoch than others.
+func (c *Chartroom) Sighted(from string) bool { return c.sighted[from] && !c.behind[from] }
 
 // Merge makes one picture of all views and tells whether it has changed. A node is dark if all that know its newest life and
 // see the core say so.
@@ -216,7 +204,7 @@
 		}
 		if e.missing.IsZero() {
 			e.missing = now
-		} else if now.Sub(e.missing) > c.keep {
+		} else if now.Sub(e.missing) > c.bounds.Keep {
 			delete(c.nodes, node)
 			changed = true
 		}
@@ -233,20 +221,7 @@
 	return out
 }
 
-// Config is the configuration held, and its version; 0 for none.
-func (c *Chartroom) Config() ([]byte, uint64) { return c.config, c.version }
-
-// Lacks tells whether a lighthouse named a higher version than the one held.
-func (c *Chartroom) Lacks(from string) bool { return c.newest[from] > c.version }
-
-// Evacuated tells whether a zone is to get nothing.
-func (c *Chartroom) Evacuated(zone string) bool { return c.zones[zone].On }
-
-// InForce is what was ordered, as held.
-func (c *Chartroom) InForce() *keeper.InForce {
-	f := &keeper.InForce{Config: c.config, Version: c.version, Removals: c.removals, Removed: c.removed}
-	for _, zone := range slices.Sorted(maps.Keys(c.zones)) {
-		f.Evacuations = append(f.Evacuations, c.zones[zone])
-	}
-	return f
+// Lacks tells whether a lighthouse that has contact named a higher version than the one held.
+func (c *Chartroom) Lacks(from string) bool {
+	return c.Sighted(from) && c.newest[from] > c.orders.version
 }
--- a/internal/lamp/lamp_test.go
+++ b/internal/lamp/lamp_test.go
@@ -17,7 +17,7 @@
 // Whatever several lighthouses tell in whatever order, old ones among them: what a pilot holds never goes back.
 func TestWhatAPilotHoldsNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := NewChartroom(time.Hour)
+		c := NewChartroom(start, Bounds{Keep: time.Hour, Patience: time.Hour})
 		now := start
 		var version uint64
 		sheets := map[string]beacon.Sheet{}
@@ -34,7 +34,7 @@
 			d.Nodes = append(d.Nodes, beacon.Known{Sheet: s, Dark: rapid.Bool().Draw(t, "dark")})
 			v := uint64(rapid.IntRange(1, 9).Draw(t, "version"))
 			stamp := tide.Stamp{Number: uint64(rapid.IntRange(1, 9).Draw(t, "stamp"))}
-			d.InForce = &keeper.InForce{Version: v, Config: []byte(fmt.Sprint(v)), Evacuations: []keeper.Evacuation{{Zone: "z", Stamp: stamp, On: stamp.Number%2 == 1}}}
+			d.InForce = &keeper.InForce{Settled: true, Version: v, Config: []byte(fmt.Sprint(v)), Evacuations: []keeper.Evacuation{{Zone: "z", Stamp: stamp, On: stamp.Number%2 == 1}}}
 			c.Hear(now, from, d)
 			if stamp.Compare(zone) > 0 {
 				zone = stamp
@@ -62,7 +62,7 @@
 	node := func(dark bool) []beacon.Known {
 		return []beacon.Known{{Sheet: beacon.Sheet{Node: "n", Life: 1, Number: 1}, Dark: dark}}
 	}
-	c := NewChartroom(time.Second)
+	c := NewChartroom(start, Bounds{Keep: time.Second})
 	dark := func() bool { return c.Nodes()[0].Dark }
 	c.Hear(start, "a", &Down{Nodes: node(false), Sighted: true})
 	c.Hear(start, "b", &Down{Nodes: node(true), Sighted: true})
@@ -90,7 +90,7 @@
 
 // How long an endpoint is cold counts from when its sheet came, not from when it is looked at.
 func TestASheetKeepsItsTime(t *testing.T) {
-	c := NewChartroom(time.Hour)
+	c := NewChartroom(start, Bounds{Keep: time.Hour})
 	d := &Down{Nodes: []beacon.Known{{Sheet: beacon.Sheet{Node: "n", Life: 1, Number: 1}}}}
 	c.Hear(start, "a", d)
 	c.Hear(start.Add(time.Second), "b", d)
@@ -106,7 +106,7 @@
 	known := func(node string, dark bool) beacon.Known {
 		return beacon.Known{Sheet: beacon.Sheet{Node: node, Life: 1, Number: 1}, Dark: dark}
 	}
-	c := NewChartroom(time.Second)
+	c := NewChartroom(start, Bounds{Keep: time.Second})
 	c.Hear(start, "a", &Down{Whole: true, Sighted: true, Nodes: []beacon.Known{known("m", false), known("n", false)}})
 	c.Hear(start, "b", &Down{Sighted: true})
 	if c.Hear(start, "b", &Down{Whole: true, Sighted: true, Nodes: []beacon.Known{known("n", true)}}); !c.Nodes()[1].Dark {
--- a/internal/lighthouse/council.go
+++ b/internal/lighthouse/council.go
@@ -87,7 +87,7 @@
 		votes = append(votes, v)
 	}
 	c.ask(muster.Asked(c.bounds, hosts, muster.Cases(c.bounds, now, hosts, votes)))
-	if f == nil || !f.Settled || c.under {
+	if !c.l.sighted() || c.under {
 		return
 	}
 	c.remember(now, in)
@@ -131,7 +131,7 @@
 	}
 	c.asked = lives
 	for k := range c.l.pilots {
-		c.l.say(k, &lamp.Down{Asked: &lamp.Question{Put: true, Lives: lives}, Sighted: k.sight})
+		c.l.tell(k, lamp.Down{Asked: &lamp.Question{Put: true, Lives: lives}, Sighted: k.sight})
 	}
 }
 
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -54,9 +55,11 @@
 	sisters  map[string]*link    // by the address of their machine; nil while there is no connection
 	core     map[string]*machine // by address
 	store    *store
-	inForce  *keeper.InForce
-	changed  map[string]bool // nodes to be pushed
-	across   map[string]bool // nodes to be told to other lighthouses
+	known    *lamp.Orders              // all that its keeper has told
+	inForce  *keeper.InForce           // the same; Settled if the keeper had contact as it told it last. Nil for nothing told
+	speaks   atomic.Pointer[time.Time] // until when it may be handed out; outboxes ask it too
+	changed  map[string]bool           // nodes to be pushed
+	across   map[string]bool           // nodes to be told to other lighthouses
 	pushing  bool
 	ticks    int
 	ticked   time.Time
@@ -76,11 +79,14 @@
 	life   uint64
 	pushed uint64 // number of the last change
 	acked  uint64
-	last   time.Time // something was sent
+	sent   time.Time // something was sent
 	heard  time.Time // something came
 	sight  bool      // as last told
 	main   bool      // it is told who is there, and configurations are sent to it whole
 	holds  uint64    // version that it goes by
+	last   uint64    // version that it was told without a lease, as it asked
+	// Something that was ordered was not sent, as the lease had ended when its turn came.
+	missed atomic.Bool
 }
 
 // machine is one of the core.
@@ -110,8 +116,9 @@
 		s: s, log: log, loop: shore.NewLoop(512),
 		registry: beacon.NewRegistry(beacon.Limits{Dark: darkAfter, Forget: forget}),
 		pilots:   map[*link]bool{}, sisters: map[string]*link{}, core: map[string]*machine{}, changed: map[string]bool{},
-		across: map[string]bool{},
+		across: map[string]bool{}, known: lamp.NewOrders(),
 	}
+	l.speaks.Store(&time.Time{})
 	l.council = newCouncil(l)
 	var err error
 	if l.inside, err = net.Listen("tcp", Address(s.IP, s)); err != nil {
@@ -130,9 +137,9 @@
 	defer l.running.Wait()
 	defer stop()
 	l.ctx = inner
+	l.store = newStore(l)
 	l.running.Go(func() { l.loop.Run(inner, pulse, l.tick) })
 	l.running.Go(func() { signal.Serve(inner, l.inside, func(raw net.Conn) { l.running.Go(func() { l.serve(raw) }) }) })
-	l.store = newStore(l)
 	l.running.Go(l.store.follow)
 	l.loop.Post(l.meetSeeds)
 	server := &http.Server{Handler: orders.NewHandler(l.run)}
@@ -194,7 +201,7 @@
 // say tells a link; one that does not take it is cut off, and comes again.
 func (l *Lighthouse) say(k *link, m any) {
 	if k.out.Say(m) {
-		k.last = time.Now()
+		k.sent = time.Now()
 	}
 }
 
@@ -258,14 +265,19 @@
 	if first || became {
 		l.push(k, l.wholePicture(k))
 	}
-	if f := l.inForce; up.Want && f != nil && f.Version > k.holds {
-		l.push(k, lamp.Down{InForce: f, Sighted: l.sighted()})
+	if f := l.inForce; (up.Want || up.Last) && f != nil && f.Version > k.holds {
+		if l.sighted() {
+			l.push(k, lamp.Down{InForce: f, Sighted: true})
+		} else if up.Last && f.Version > k.last { // it knows that this is of one without contact
+			k.last = f.Version
+			l.push(k, lamp.Down{InForce: unsettled(f)})
+		}
 	}
 	l.council.heard(k, up.Opinions)
 	if up.Sheet != nil && up.Sheet.Node == k.node {
 		k.life = up.Sheet.Life
 		if known, ok := l.registry.Get(k.node); ok && known.Life > k.life {
-			l.say(k, &lamp.Down{Outlive: known.Life, Sighted: k.sight})
+			l.tell(k, lamp.Down{Outlive: known.Life, Sighted: l.sighted()})
 		}
 		if l.registry.Put(now, *up.Sheet) {
 			l.across[k.node] = true
@@ -346,8 +358,27 @@
 // push sends a numbered change to a pilot.
 func (l *Lighthouse) push(k *link, d lamp.Down) {
 	k.pushed++
-	d.Number, k.sight = k.pushed, d.Sighted
-	l.say(k, &d)
+	d.Number = k.pushed
+	l.tell(k, d)
+}
+
+// tell tells a pilot. What is said under a lease is looked at again when its turn comes: if the lease has ended by then, what was ordered
+// is left out, and told once there is a lease again.
+func (l *Lighthouse) tell(k *link, d lamp.Down) {
+	k.sight = d.Sighted
+	if !d.Sighted {
+		l.say(k, &d)
+		return
+	}
+	l.say(k, signal.Late(func() any {
+		if !l.sighted() {
+			if d.InForce != nil {
+				k.missed.Store(true)
+			}
+			d.InForce, d.Sighted = nil, false
+		}
+		return &d
+	}))
 }
 
 // wholePicture is everything that a pilot is told at first. Who is there it is told by one lighthouse alone.
@@ -360,9 +391,12 @@
 }
 
 // orderFor is what is in force, for a pilot: one that has the configuration, or will have it from another lighthouse, is
-// told its version alone.
+// told its version alone. Without contact nothing is.
 func (l *Lighthouse) orderFor(k *link) *keeper.InForce {
-	if l.inForce == nil || k.main && k.holds < l.inForce.Version {
+	if !l.sighted() {
+		return nil
+	}
+	if k.main && k.holds < l.inForce.Version {
 		return l.inForce
 	}
 	f := *l.inForce
@@ -370,6 +404,13 @@
 	return &f
 }
 
+// unsettled is the same as the word of one without contact.
+func unsettled(f *keeper.InForce) *keeper.InForce {
+	u := *f
+	u.Settled = false
+	return &u
+}
+
 func (l *Lighthouse) wholeAcross() *lamp.Across {
 	a := &lamp.Across{Core: l.machines()}
 	for _, k := range l.registry.All() {
@@ -378,8 +419,8 @@
 	return a
 }
 
-// sighted tells whether this lighthouse sees most of the core.
-func (l *Lighthouse) sighted() bool { return l.inForce != nil && l.inForce.Settled }
+// sighted tells whether this lighthouse has contact with a majority of the core, by the clock: a process that stood still has none.
+func (l *Lighthouse) sighted() bool { return time.Now().Before(*l.speaks.Load()) }
 
 // machines are those of the core that answered of late, this one among them.
 func (l *Lighthouse) machines() []lamp.Machine {
@@ -398,16 +439,19 @@
 	now := time.Now()
 	awake := now.Sub(l.ticked) < sleepTicks*pulse // else this process stood still, and not the pilots
 	l.ticked = now
+	l.store.beat(now)
 	for _, node := range l.registry.Age(now, l.sighted() && awake) {
 		l.log.Info().Str("pilot", node).Msg("pilot is dark or forgotten")
 		l.note(node)
 	}
 	for k := range l.pilots {
 		switch {
+		case l.sighted() && k.missed.Swap(false):
+			l.push(k, lamp.Down{InForce: l.orderFor(k), Sighted: true})
 		case k.sight != l.sighted():
 			l.push(k, lamp.Down{Sighted: l.sighted(), Core: l.machines()})
-		case now.Sub(k.last) >= beat-pulse/2:
-			l.say(k, &lamp.Down{Sighted: k.sight})
+		case now.Sub(k.sent) >= beat-pulse/2:
+			l.tell(k, lamp.Down{Sighted: k.sight})
 		}
 	}
 	l.council.tick(now)
@@ -430,15 +474,24 @@
 	}
 }
 
-// ordered takes what the keeper says to be in force.
-func (l *Lighthouse) ordered(f *keeper.InForce) {
-	same := l.inForce.Same(f)
-	l.inForce = f
-	if same {
+// ordered takes what the keeper says to be in force, or that the lease has changed: then f is nil. It is the one function that changes
+// what may be handed out and until when. A lighthouse that has gained contact tells all pilots what is in force.
+func (l *Lighthouse) ordered(now time.Time, f *keeper.InForce, gained bool) {
+	before := l.inForce
+	if f != nil {
+		next := l.known.Learn(f)
+		l.inForce = next
+	}
+	until := l.store.lease.Until()
+	if l.inForce == nil || !l.inForce.Settled {
+		until = time.Time{}
+	}
+	l.speaks.Store(&until)
+	if !now.Before(until) || !gained && before.Same(l.inForce) {
 		return
 	}
 	for k := range l.pilots {
-		l.push(k, lamp.Down{InForce: l.orderFor(k), Sighted: f.Settled, Core: l.machines()})
+		l.push(k, lamp.Down{InForce: l.orderFor(k), Sighted: true, Core: l.machines()})
 	}
 }
 
--- a/internal/lighthouse/status.go
+++ b/internal/lighthouse/status.go
@@ -17,8 +17,10 @@
 // Status is how things are, as a lighthouse sees them.
 type Status struct {
 	Node    string
-	Sighted bool // it sees most of the core
+	Sighted bool // it has contact with a majority of the core
 	Version uint64
+	Epoch   uint64        // of the set of disks, as it last had contact
+	Lease   time.Duration // left of its contact
 	Evacs   []keeper.Evacuation
 	Core    []lamp.Machine
 	Pilots  []PilotStatus
@@ -39,7 +41,8 @@
 func (l *Lighthouse) status() *Status {
 	s := &Status{Node: l.s.Node, Sighted: l.sighted(), Core: l.machines()}
 	if f := l.inForce; f != nil {
-		s.Version, s.Evacs, s.Removed = f.Version, f.Evacuations, f.Removals
+		s.Version, s.Epoch, s.Evacs, s.Removed = f.Version, f.Epoch, f.Evacuations, f.Removals
+		s.Lease = max(time.Until(*l.speaks.Load()), 0)
 	}
 	links := map[string]*link{}
 	for k := range l.pilots {
@@ -68,7 +71,7 @@
 
 // Print writes a status for people.
 func (s *Status) Print(w io.Writer) {
-	fmt.Fprintf(w, "lighthouse %s  sees-the-core=%v  version=r%d\n", s.Node, s.Sighted, s.Version)
+	fmt.Fprintf(w, "lighthouse %s  sees-the-core=%v  version=r%d  epoch=%d  lease=%v\n", s.Node, s.Sighted, s.Version, s.Epoch, s.Lease.Round(time.Millisecond))
 	for _, e := range s.Evacs {
 		if e.On {
 			fmt.Fprintf(w, "zone %s is evacuated (order %d)\n", e.Zone, e.Stamp.Number)
--- a/internal/lighthouse/store.go
+++ b/internal/lighthouse/store.go
@@ -5,18 +5,17 @@
 	"time"
 
 	"whinknot/internal/keeper"
+	"whinknot/internal/lease"
 	"whinknot/internal/signal"
 )
 
-const (
-	storeBeat = 500 * time.Millisecond
-	orderTime = 3500 * time.Millisecond // for a result; then it is unclear what became of the order
-)
+const orderTime = 3500 * time.Millisecond // for a result; then it is unclear what became of the order
 
-// store is the way to a keeper: the one on this machine, or another while that does not answer.
+// store is the way to the keeper on this machine, and the lease that its answers to beats give.
 type store struct {
 	l      *Lighthouse
-	conn   *signal.Conn // the loop's
+	out    *signal.Outbox // the loop's; nil while there is no connection
+	lease  lease.Lease
 	lastID uint64
 	orders map[uint64]func(*keeper.Result)
 }
@@ -30,9 +29,10 @@
 	l := s.l
 	pause := signal.Pause{First: firstPause, Most: pulse / 4}
 	signal.Hold(l.ctx, keeper.Address(l.s.IP, l.s), silence, pause, &keeper.Hello{Lighthouse: l.s.Node}, func(conn *signal.Conn) {
-		l.loop.Post(func() { s.conn = conn })
+		out := signal.NewOutbox(conn, queue)
+		l.running.Go(out.Run)
+		l.loop.Post(func() { s.out = out; s.beat(time.Now()) })
 		defer l.loop.Post(s.lost)
-		l.running.Go(func() { conn.Beat(storeBeat, &keeper.Order{Kind: keeper.Beat}) })
 		for {
 			var w keeper.Word
 			if conn.Receive(&w) != nil {
@@ -43,10 +43,22 @@
 	})
 }
 
+// beat asks the keeper whether it has contact. The lease counts from now, not from when the answer comes.
+func (s *store) beat(now time.Time) {
+	if s.out != nil {
+		s.out.Say(&keeper.Order{Kind: keeper.Beat, ID: s.lease.Beat(now)})
+	}
+}
+
 // heard takes a word of the keeper.
 func (s *store) heard(w *keeper.Word) {
-	if w.InForce != nil {
-		s.l.ordered(w.InForce)
+	now := time.Now()
+	gained := w.Beat > 0 && s.lease.Answered(now, w.Beat, w.Lease)
+	if w.InForce != nil || w.Beat > 0 {
+		s.l.ordered(now, w.InForce, gained)
+	}
+	if w.InForce != nil && w.InForce.Settled && !s.lease.Held(now) { // it has just gained contact
+		s.beat(now)
 	}
 	for _, m := range w.Core {
 		s.l.meet(host(m.Addr), m.Zone)
@@ -61,30 +73,28 @@
 
 // lost notes that the keeper cannot be reached: what became of its orders is not clear, and this lighthouse sees nothing.
 func (s *store) lost() {
-	s.conn = nil
+	now := time.Now()
+	s.out = nil
+	s.lease.Lost(now)
+	s.l.ordered(now, nil, false)
 	pending := s.orders
 	s.orders = map[uint64]func(*keeper.Result){}
 	for _, then := range pending {
 		then(&keeper.Result{Status: keeper.Unclear, Why: "the keeper was lost meanwhile"})
 	}
-	if f := s.l.inForce; f != nil {
-		blind := *f
-		blind.Settled = false
-		s.l.inForce = &blind
-	}
 }
 
 // order has the keeper carry out an order; then gets the result, once.
 func (s *store) order(o *keeper.Order, then func(*keeper.Result)) {
-	if s.conn == nil {
+	if s.out == nil {
 		then(&keeper.Result{Status: keeper.Unclear, Why: "no keeper can be reached"})
 		return
 	}
 	s.lastID++
 	o.ID = s.lastID
-	id, conn := o.ID, s.conn
+	id := o.ID
 	s.orders[id] = then
-	s.l.running.Go(func() { conn.Send(o) })
+	s.out.Say(o)
 	time.AfterFunc(orderTime, func() {
 		s.l.loop.Post(func() {
 			if f := s.orders[id]; f != nil {
--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -101,8 +101,9 @@
 	closeAt   time.Time // with Draining: nothing is let in from then on
 	leaveAt   time.Time // this pilot ends; zero for not
 	evacuated bool
-	ordered   bool // what operators have ordered is known: until then nothing is let in
-	doubtful  bool // the endpoint may have become cold unheard
+	order     uint64 // the number of the evacuation, or of its end, that is gone by
+	ordered   bool   // what operators have ordered is known: until then nothing is let in
+	doubtful  bool   // the endpoint may have become cold unheard
 	inside    int
 	waiting   []*Ticket
 	arrivals  []time.Time // of the last second
@@ -177,14 +178,21 @@
 // Leave says that this pilot ends: after a while nothing more is let in.
 func (g *Gate) Leave(from time.Time) { g.leaveAt = from }
 
-// Evacuate closes the gate for an evacuation, or opens it: then the endpoint may be cold until it says more.
-func (g *Gate) Evacuate(on bool) {
+// Evacuate closes the gate for an evacuation, or opens it: then the endpoint may be cold until it says more. An order with a lower number
+// than one that is gone by changes nothing; 0 is that of none.
+func (g *Gate) Evacuate(number uint64, on bool) {
+	if number < g.order {
+		return
+	}
 	if g.evacuated && !on {
 		g.doubtful = true
 	}
-	g.evacuated, g.ordered = on, true
+	g.order, g.evacuated, g.ordered = number, on, true
 }
 
+// Evacuated tells whether the gate is closed for an evacuation.
+func (g *Gate) Evacuated() bool { return g.evacuated }
+
 // Doubt says that the endpoint may be cold, until it says more.
 func (g *Gate) Doubt() { g.doubtful = true }
 
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -12,7 +12,7 @@
 
 func gate(b Bounds) *Gate {
 	g := New(b)
-	g.Evacuate(false)
+	g.Evacuate(0, false)
 	g.Enter(start, "life", Serving)
 	g.Said(start, 9, 0)
 	return g
@@ -104,7 +104,7 @@
 		NoLife:    func(g *Gate) { g.Enter(at, "life", Down) },
 		OtherLife: func(g *Gate) { g.Enter(at, "another", Serving) },
 		Leaving:   func(g *Gate) { g.Leave(at) },
-		Evacuated: func(g *Gate) { g.Evacuate(true) },
+		Evacuated: func(g *Gate) { g.Evacuate(1, true) },
 		Full: func(g *Gate) {
 			for range 9 {
 				g.Ask(at, Ask{Life: "life", Until: at})
@@ -132,12 +132,12 @@
 	if v := ask(g, start); v != NoLife {
 		t.Errorf("before it knows whether its zone is evacuated: %v", v)
 	}
-	g.Evacuate(true)
+	g.Evacuate(1, true)
 	if v := ask(g, start); v != Evacuated {
 		t.Errorf("in a zone that is: %v", v)
 	}
 	g = New(Bounds{Drain: 2 * time.Second})
-	g.Evacuate(false)
+	g.Evacuate(0, false)
 	g.Enter(start, "life", Draining)
 	if v := ask(g, start); v != Leaving {
 		t.Errorf("to an endpoint that drains: %v", v)
@@ -147,8 +147,8 @@
 // Between an evacuation and the next word of the endpoint it may be cold, and is taken for it.
 func TestAfterAnEvacuationAnEndpointMayBeCold(t *testing.T) {
 	g := gate(Bounds{WarmupRate: 2, WarmupExcess: 1, WarmupSlack: 2})
-	g.Evacuate(true)
-	g.Evacuate(false)
+	g.Evacuate(1, true)
+	g.Evacuate(2, false)
 	at := start.Add(time.Minute)
 	if got := fmt.Sprint(ask(g, at), ask(g, at), ask(g, at)); got != "pass pass cold" {
 		t.Fatal(got)
@@ -191,7 +191,7 @@
 		}
 	}
 	g := New(Bounds{})
-	g.Evacuate(false)
+	g.Evacuate(0, false)
 	g.Enter(start, "life", Serving)
 	if n := inside(g, "life"); n != fewSlots {
 		t.Errorf("%d without a word of anybody", n)
@@ -336,3 +336,24 @@
 		}
 	})
 }
+
+// What was ordered of a zone has a number: an order with a lower one than the gate goes by, heard late, neither opens nor closes it.
+func TestAnOlderEvacuationChangesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gate(Bounds{})
+		var newest uint64
+		evacuated := func() bool { return newest%2 == 1 } // odd ones empty the zone
+		for range rapid.IntRange(1, 30).Draw(t, "orders") {
+			n := rapid.Uint64Range(0, 9).Draw(t, "number")
+			newest = max(newest, n)
+			g.Evacuate(n, n%2 == 1)
+			want := Pass
+			if evacuated() {
+				want = Evacuated
+			}
+			if v := g.closed(start, "life"); v != want || g.Evacuated() != evacuated() {
+				t.Fatalf("after order %d, the newest being %d: %v, want %v", n, newest, v, want)
+			}
+		}
+	})
+}
--- a/internal/pilot/explain.go
+++ b/internal/pilot/explain.go
@@ -32,6 +32,7 @@
 	Node, Zone      string
 	Version         uint64
 	Ready           bool
+	Standing        string   // by whose word it goes by what was ordered: waiting, uncertain or certain
 	Lighthouses     []string // that it is connected to
 	Endpoint        string
 	EndpointState   string
@@ -95,7 +96,7 @@
 // status tells how things are. It runs in the loop.
 func (p *Pilot) status() *Status {
 	_, version := p.room.Config()
-	s := &Status{Node: p.s.Node, Zone: p.s.Zone, Version: version, Ready: !p.leaving.Load() && p.view.Load().chart != nil}
+	s := &Status{Node: p.s.Node, Zone: p.s.Zone, Version: version, Ready: !p.leaving.Load() && p.view.Load().chart != nil, Standing: p.room.Standing().String()}
 	for ip, k := range p.links.active {
 		if k.conn != nil {
 			s.Lighthouses = append(s.Lighthouses, ip)
@@ -126,7 +127,7 @@
 
 // Print writes a status for people.
 func (s *Status) Print(w io.Writer) {
-	fmt.Fprintf(w, "pilot %s  zone %s  version=r%d  ready=%v  lighthouses=%v\n", s.Node, s.Zone, s.Version, s.Ready, s.Lighthouses)
+	fmt.Fprintf(w, "pilot %s  zone %s  version=r%d  ready=%v  orders=%s  lighthouses=%v\n", s.Node, s.Zone, s.Version, s.Ready, s.Standing, s.Lighthouses)
 	fmt.Fprintf(w, "endpoint %s  %s  inside=%d of %d  waiting=%d\n", s.Endpoint, s.EndpointState, s.Inside, s.Slots, s.Waiting)
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	for _, v := range s.Services {
--- a/internal/pilot/gossip.go
+++ b/internal/pilot/gossip.go
@@ -24,6 +24,7 @@
 	Zones   uint64     // sum of the numbers of evacuations: it rises with each
 	Removed tide.Stamp // of removals
 	Cut     bool       // it has no lighthouse: who is there is news to it
+	Unsure  bool       // it goes by what it was told by nobody with contact: it would hear what another is certain of
 	InForce *keeper.InForce
 	Nodes   []lamp.Node
 }
@@ -72,7 +73,7 @@
 // gossip is what this pilot goes by. It runs in the loop.
 func (p *Pilot) gossip() *Gossip {
 	f := p.room.InForce()
-	g := &Gossip{Version: f.Version, Removed: f.Removed, Cut: p.links.main() == ""}
+	g := &Gossip{Version: f.Version, Removed: f.Removed, Cut: p.links.main() == "", Unsure: p.room.Standing() == lamp.Uncertain}
 	for _, e := range f.Evacuations {
 		g.Zones += e.Stamp.Number
 	}
@@ -82,7 +83,7 @@
 // reply is what another lacks. It runs in the loop.
 func (p *Pilot) reply(to *Gossip) *Gossip {
 	g := p.gossip()
-	if g.Version > to.Version || g.Zones > to.Zones || g.Removed.Compare(to.Removed) > 0 {
+	if g.Version > to.Version || g.Zones > to.Zones || g.Removed.Compare(to.Removed) > 0 || to.Unsure && !g.Unsure {
 		g.InForce = p.room.InForce()
 		if g.Version <= to.Version {
 			g.InForce.Config = nil
@@ -143,7 +144,7 @@
 	w.watch.Heard(now, name)
 	var ch lamp.Change
 	if g.InForce != nil {
-		ch = w.p.room.Ordered(g.InForce)
+		ch = w.p.room.Ordered(lamp.Pilot, g.InForce)
 	}
 	if len(g.Nodes) > 0 && w.p.links.main() == "" {
 		ch.Nodes = w.p.room.Told(now, g.Nodes)
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -18,6 +18,8 @@
 	linkSilence = 2200 * time.Millisecond
 	linkQueue   = 64                    // words to one lighthouse that it has not taken
 	linkCount   = 3                     // lighthouses that are connected to at once
+	searchCount = 11                    // and while none of them has contact: more than that no core has
+	searchAfter = linkSilence / 2       // without one that has contact, others are tried too
 	firstPause  = 25 * time.Millisecond // before a lighthouse is tried again, at first and at most
 	mostPause   = 250 * time.Millisecond
 	wantAfter   = 60 * time.Millisecond // the nearest lighthouse has sent a configuration by then
@@ -32,7 +34,8 @@
 	active map[string]*link
 	failed map[string]time.Time // not to be tried before
 	pauses map[string]*signal.Pause
-	told   string // the main one, as lighthouses were told
+	told   string    // the main one, as lighthouses were told
+	saw    time.Time // one that had contact was reached last then; the start at first
 }
 
 type link struct {
@@ -44,7 +47,7 @@
 }
 
 func newLinks(p *Pilot) *links {
-	return &links{p: p, s: p.s, known: map[string]string{}, active: map[string]*link{}, failed: map[string]time.Time{}, pauses: map[string]*signal.Pause{}}
+	return &links{p: p, s: p.s, known: map[string]string{}, active: map[string]*link{}, failed: map[string]time.Time{}, pauses: map[string]*signal.Pause{}, saw: time.Now()}
 }
 
 func (l *links) meetSeeds() { l.p.loop.Post(func() { l.settings(l.s) }) }
@@ -81,8 +84,9 @@
 func (l *links) tick() {
 	now := time.Now()
 	order := l.order()
+	most := l.most(now)
 	for _, ip := range order {
-		if len(l.active) >= linkCount {
+		if len(l.active) >= most {
 			break
 		}
 		if l.active[ip] == nil && now.After(l.failed[ip]) {
@@ -90,6 +94,7 @@
 		}
 	}
 	l.nearer(order, now)
+	l.fewer(order, most)
 	for _, k := range l.active {
 		if k.conn != nil && now.Sub(k.last) >= linkPulse-lookEvery/2 {
 			l.send(k, l.up(k))
@@ -97,6 +102,44 @@
 	}
 }
 
+// most is how many lighthouses to be connected to: more than usual while none of them has contact with a majority, as one that has may
+// be among those that are farther away.
+func (l *links) most(now time.Time) int {
+	for ip, k := range l.active {
+		if k.conn != nil && l.p.room.Sighted(ip) {
+			l.saw = now
+		}
+	}
+	if now.Sub(l.saw) < searchAfter {
+		return linkCount
+	}
+	return searchCount
+}
+
+// fewer gives up a connection, if there are too many: the farthest of those to lighthouses without contact, if there are such.
+func (l *links) fewer(order []string, most int) {
+	if len(l.active) <= most {
+		return
+	}
+	var last *link
+	for _, ip := range slices.Backward(order) {
+		k := l.active[ip]
+		if k == nil || k.conn == nil {
+			continue
+		}
+		if last == nil {
+			last = k
+		}
+		if !l.p.room.Sighted(ip) {
+			last = k
+			break
+		}
+	}
+	if last != nil {
+		last.conn.Close()
+	}
+}
+
 // nearer gives up the farthest connection, if there is none to a machine of the own zone that could be had.
 func (l *links) nearer(order []string, now time.Time) {
 	if len(order) == 0 || l.known[order[0]] != l.s.Zone || l.active[order[0]] != nil || now.Before(l.failed[order[0]]) || len(l.active) < linkCount {
@@ -144,7 +187,7 @@
 // up is what every word to a lighthouse says.
 func (l *links) up(k *link) *lamp.Up {
 	_, version := l.p.room.Config()
-	return &lamp.Up{Ack: k.ack, Holds: version, Main: k.ip == l.main()}
+	return &lamp.Up{Ack: k.ack, Holds: version, Main: k.ip == l.main(), Last: l.p.room.Asks(time.Now())}
 }
 
 func (l *links) open(ip string) {
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -18,6 +18,7 @@
 
 	"whinknot/internal/berth"
 	"whinknot/internal/keeper"
+	"whinknot/internal/lamp"
 	"whinknot/internal/lighthouse"
 	"whinknot/internal/tide"
 )
@@ -76,7 +77,7 @@
 		Path: "test", Node: node, IP: ip, Zone: "north", Zones: map[string]string{"north": "land"}, PortFrom: m.port - 1, PortTo: m.port + 1,
 		Seeds: []string{coreIP + ":1"}, Control: at(0), Inbound: at(1), Outbound: at(2), Readiness: at(3), LocalApp: at(4), Descriptors: 400,
 		MemoryMB: 256,
-		Bounds:   berth.Bounds{Drain: 2 * time.Second, Grace: 400 * time.Millisecond, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50},
+		Bounds:   berth.Bounds{Contact: 3 * time.Second, Converge: 2 * time.Second, Drain: 2 * time.Second, Grace: 400 * time.Millisecond, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50},
 	}
 }
 
@@ -471,8 +472,8 @@
 	m.stopCore()
 	newer := strings.Replace(testConfig, `"r2"`, `"r9"`, 1)
 	from.pilot.loop.Post(func() {
-		f := &keeper.InForce{Config: []byte(newer), Version: 9, Evacuations: []keeper.Evacuation{{Zone: "north", Stamp: tide.Stamp{Number: 4, By: "d"}, On: true}}}
-		from.pilot.news(from.pilot.room.Ordered(f))
+		f := &keeper.InForce{Settled: true, Epoch: 1, Config: []byte(newer), Version: 9, Evacuations: []keeper.Evacuation{{Zone: "north", Stamp: tide.Stamp{Number: 4, By: "d"}, On: true}}}
+		from.pilot.news(from.pilot.room.Ordered(lamp.Pilot, f))
 	})
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); {
 		s, err := Ask(to.pilot.sheet.Talk, Question{}, 5*time.Second)
@@ -516,7 +517,7 @@
 	a.PrintStory(&text)
 	b.PrintStory(&text)
 	for _, want := range []string{
-		"pilot from  zone north  version=r2  ready=true", "endpoint i-to  serving", "event=taken route=b service=one version=r2",
+		"pilot from  zone north  version=r2  ready=true  orders=certain", "endpoint i-to  serving", "event=taken route=b service=one version=r2",
 		`event=attempt life=i-to`, `word="answer"`, "event=answered status=200 attempts=1 arrived=1", "event=crossed life=i-to",
 	} {
 		if !strings.Contains(text.String(), want) {
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -53,23 +53,24 @@
 	log  zerolog.Logger
 	loop *shore.Loop
 
-	room    *lamp.Chartroom
-	links   *links
-	watch   *watchers
-	sheet   beacon.Sheet
-	view    atomic.Pointer[view]
-	charted chan struct{}       // closed once there is a configuration
-	fairway map[string]*fairway // by service
-	shunned map[string]time.Time
-	quay    *quay
-	witness *witness
-	story   *story.Recorder
-	talk    net.Listener
-	opined  time.Time
-	bulk    bulk
-	target  atomic.Pointer[string]
-	leaving atomic.Bool
-	failed  atomic.Int64 // a request that began on this machine failed last, ns since 1970
+	room     *lamp.Chartroom
+	standing lamp.Standing // as last told in the log
+	links    *links
+	watch    *watchers
+	sheet    beacon.Sheet
+	view     atomic.Pointer[view]
+	charted  chan struct{}       // closed once there is a configuration
+	fairway  map[string]*fairway // by service
+	shunned  map[string]time.Time
+	quay     *quay
+	witness  *witness
+	story    *story.Recorder
+	talk     net.Listener
+	opined   time.Time
+	bulk     bulk
+	target   atomic.Pointer[string]
+	leaving  atomic.Bool
+	failed   atomic.Int64 // a request that began on this machine failed last, ns since 1970
 
 	running   sync.WaitGroup
 	inbound   *sidecar.Port
@@ -91,7 +92,7 @@
 		return nil, Start.New("%s: bind.inbound, bind.outbound, bind.readiness, bind.control and local_app are needed", s.Path)
 	}
 	p := &Pilot{
-		s: s, log: log, loop: shore.NewLoop(512), room: lamp.NewChartroom(keepMissing),
+		s: s, log: log, loop: shore.NewLoop(512), room: lamp.NewChartroom(time.Now(), roomBounds(s)),
 		charted: make(chan struct{}), fairway: map[string]*fairway{}, shunned: map[string]time.Time{},
 	}
 	p.view.Store(&view{})
@@ -119,6 +120,12 @@
 	return p, nil
 }
 
+// roomBounds are what the chart room goes by: a pilot that is new waits for a word of one with contact for as long as calm machines may
+// take to be in touch and a configuration to reach all.
+func roomBounds(s *berth.Settings) lamp.Bounds {
+	return lamp.Bounds{Keep: keepMissing, Patience: s.Bounds.Converge + s.Bounds.Contact}
+}
+
 // Run serves until ctx ends, then finishes what was taken.
 func (p *Pilot) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
@@ -222,6 +229,7 @@
 	if changed {
 		p.relist()
 	}
+	p.news(p.room.Due(now))
 	p.quay.look()
 	p.links.tick()
 	p.watch.tick(now)
@@ -239,13 +247,22 @@
 
 // news takes what has changed in the chart room.
 func (p *Pilot) news(c lamp.Change) {
+	if s := p.room.Standing(); s != p.standing {
+		p.standing = s
+		log := p.log.Info()
+		if s == lamp.Uncertain {
+			log = p.log.Warn()
+		}
+		_, version := p.room.Config()
+		log.Stringer("standing", s).Uint64("version", version).Msg("by whose word orders are gone by")
+	}
 	if c.Config {
 		p.rechart()
 		p.links.holds()
 	}
 	if c.Zones || c.Config {
 		p.quay.removal(p.room)
-		p.quay.ordered(p.room.Evacuated(p.s.Zone), p.view.Load().chart)
+		p.quay.ordered(p.room.Evacuation(p.s.Zone), p.view.Load().chart)
 	}
 	if c.Nodes || c.Zones || c.Config {
 		p.relist()
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -11,6 +11,7 @@
 
 	"whinknot/internal/beacon"
 	"whinknot/internal/chart"
+	"whinknot/internal/keeper"
 	"whinknot/internal/lamp"
 	"whinknot/internal/muster"
 	"whinknot/internal/orders"
@@ -98,10 +99,11 @@
 }
 
 // ordered takes what operators have ordered.
-func (q *quay) ordered(evacuated bool, c *chart.Chart) {
+func (q *quay) ordered(order keeper.Evacuation, c *chart.Chart) {
 	q.mu.Lock()
 	q.gate.Bound(q.bounds(c))
-	q.gate.Evacuate(evacuated)
+	q.gate.Evacuate(order.Stamp.Number, order.On)
+	evacuated := q.gate.Evacuated()
 	if c != nil {
 		if s := c.Services[q.p.service()]; s != nil {
 			q.probe = s.Probe
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -177,6 +177,10 @@
 	}
 }
 
+// Late is a message that is made when its turn comes to be sent: what may be said can have changed while it waited. It is called once,
+// by the goroutine of the outbox.
+type Late func() any
+
 // Outbox sends messages over a connection one after the other, so that who says them never waits.
 type Outbox struct {
 	conn *Conn
@@ -204,6 +208,9 @@
 		case <-o.conn.ended.Done():
 			return
 		case m := <-o.mail:
+			if late, ok := m.(Late); ok {
+				m = late()
+			}
 			if o.conn.Send(m) != nil {
 				return
 			}
