--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,8 +13,7 @@
 type Lease struct {
 	until   time.Time // zero for none
 	last    uint64    // the beat that left last
-	newest  uint64    // the newest beat that was answered
-	waiting []beat    // without an answer, in order
+	waiting []beat    // later ones than the newest that was answered, in order
 }
 
 type beat struct {
@@ -33,13 +32,14 @@
 }
 
 // Answered takes the answer to a beat: left is what was left of the keeper's lease as it answered. It tells whether the lease is held
-// now and was not just before. An answer to a beat that is not known, or older than another answer, changes nothing.
+// now and was not just before. An answer to a beat that is not known, or that left before another that was answered, changes
+// nothing.
 func (l *Lease) Answered(now time.Time, number uint64, left time.Duration) (gained bool) {
 	for i, b := range l.waiting {
-		if b.number != number || number <= l.newest {
+		if b.number != number {
 			continue
 		}
-		l.newest, l.waiting = number, append(l.waiting[:0], l.waiting[i+1:]...)
+		l.waiting = append(l.waiting[:0], l.waiting[i+1:]...)
 		return l.set(now, b.left.Add(max(left, 0)))
 	}
 	return false
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -265,10 +265,11 @@
 	if first || became {
 		l.push(k, l.wholePicture(k))
 	}
-	if f := l.inForce; (up.Want || up.Last) && f != nil && f.Version > k.holds {
-		if l.sighted() {
+	if f := l.inForce; f != nil && f.Version > k.holds {
+		switch sighted := l.sighted(); {
+		case up.Want && sighted:
 			l.push(k, lamp.Down{InForce: f, Sighted: true})
-		} else if up.Last && f.Version > k.last { // it knows that this is of one without contact
+		case up.Last && !sighted && f.Version > k.last: // it knows that this is of one without contact
 			k.last = f.Version
 			l.push(k, lamp.Down{InForce: unsettled(f)})
 		}
--- a/internal/pilot/links.go
+++ b/internal/pilot/links.go
@@ -94,7 +94,9 @@
 		}
 	}
 	l.nearer(order, now)
-	l.fewer(order, most)
+	if k := l.surplus(order, most); k != nil {
+		k.conn.Close()
+	}
 	for _, k := range l.active {
 		if k.conn != nil && now.Sub(k.last) >= linkPulse-lookEvery/2 {
 			l.send(k, l.up(k))
@@ -116,28 +118,25 @@
 	return searchCount
 }
 
-// fewer gives up a connection, if there are too many: the farthest of those to lighthouses without contact, if there are such.
-func (l *links) fewer(order []string, most int) {
+// surplus is the connection to be given up, if there are too many: the farthest of those to lighthouses without contact, or else the
+// farthest of all.
+func (l *links) surplus(order []string, most int) (farthest *link) {
 	if len(l.active) <= most {
-		return
+		return nil
 	}
-	var last *link
 	for _, ip := range slices.Backward(order) {
 		k := l.active[ip]
 		if k == nil || k.conn == nil {
 			continue
 		}
-		if last == nil {
-			last = k
-		}
 		if !l.p.room.Sighted(ip) {
-			last = k
-			break
+			return k
+		}
+		if farthest == nil {
+			farthest = k
 		}
 	}
-	if last != nil {
-		last.conn.Close()
-	}
+	return farthest
 }
 
 // nearer gives up the farthest connection, if there is none to a machine of the own zone that could be had.
