--- a/internal/lighthouse/council.go
+++ b/internal/lighthouse/council.go
@@ -31,14 +31,15 @@
 
 // heard takes the opinions of a pilot that is connected.
 func (c *council) heard(k *link, opinions []muster.Opinion) {
-	if len(opinions) == 0 {
+	now := time.Now()
+	if len(opinions) == 0 || c.l.stood.just(now) { // these may be old
 		return
 	}
 	zone := ""
 	if known, ok := c.l.registry.Get(k.node); ok {
 		zone = known.Zone
 	}
-	c.votes[k.node] = muster.Vote{Pilot: k.node, Zone: zone, Heard: time.Now(), Opinions: opinions}
+	c.votes[k.node] = muster.Vote{Pilot: k.node, Zone: zone, Heard: now, Opinions: opinions}
 	c.fresh[k.node] = true
 }
 
@@ -87,7 +88,7 @@
 		votes = append(votes, v)
 	}
 	c.ask(muster.Asked(c.bounds, hosts, muster.Cases(c.bounds, now, hosts, votes)))
-	if !c.l.sighted() || c.under {
+	if !c.l.sighted() || c.l.stood.just(now) || c.under {
 		return
 	}
 	c.remember(now, in)
@@ -138,7 +139,7 @@
 // order has the keepers hold the removals that were agreed on.
 func (c *council) order(next []muster.Removal, f *keeper.InForce) {
 	c.under = true
-	c.l.store.order(&keeper.Order{Kind: keeper.SetRemovals, Removals: next, Base: f.Removed}, func(r *keeper.Result) {
+	c.l.store.order(&keeper.Order{Kind: keeper.SetRemovals, Removals: next, Base: f.Removed}, time.Now(), func(r *keeper.Result) {
 		c.under, c.due = false, time.Time{}
 		log := c.l.log.Info()
 		for _, out := range next {
--- a/internal/lighthouse/lighthouse.go
+++ b/internal/lighthouse/lighthouse.go
@@ -34,7 +34,6 @@
 	beat       = 800 * time.Millisecond  // between two words to each pilot and lighthouse where there is no news
 	silence    = 2200 * time.Millisecond // after which a connection counts as dead
 	firstPause = 25 * time.Millisecond   // before a peer is tried again
-	sleepTicks = 3                       // pulses without a look after which it is this process that stood still
 	vouchTicks = 2                       // pulses from one vouching for those pilots to the next that were heard meanwhile
 	darkAfter  = 2500 * time.Millisecond // a pilot that nobody has heard of
 	forget     = 30 * time.Second
@@ -62,7 +61,7 @@
 	across   map[string]bool           // nodes to be told to other lighthouses
 	pushing  bool
 	ticks    int
-	ticked   time.Time
+	stood    standstill
 	waits    []*wait
 	council  *council
 
@@ -307,9 +306,11 @@
 			l.note(node)
 		}
 	}
-	for _, v := range a.Votes {
-		v.Heard = now
-		l.council.votes[v.Pilot] = v
+	if !l.stood.just(now) { // else they may be old
+		for _, v := range a.Votes {
+			v.Heard = now
+			l.council.votes[v.Pilot] = v
+		}
 	}
 	for _, other := range a.Core {
 		l.meet(other.IP, other.Zone)
@@ -438,10 +439,9 @@
 // tick ages what is known and says to everybody that this lighthouse is there.
 func (l *Lighthouse) tick() {
 	now := time.Now()
-	awake := now.Sub(l.ticked) < sleepTicks*pulse // else this process stood still, and not the pilots
-	l.ticked = now
+	l.stood.look(now)
 	l.store.beat(now)
-	for _, node := range l.registry.Age(now, l.sighted() && awake) {
+	for _, node := range l.registry.Age(now, l.sighted() && !l.stood.just(now)) { // else not the pilots stood still
 		l.log.Info().Str("pilot", node).Msg("pilot is dark or forgotten")
 		l.note(node)
 	}
@@ -540,8 +540,9 @@
 // run runs a command of an endpoint or an operator.
 func (l *Lighthouse) run(c orders.Command, then func(orders.Result)) {
 	order := func(o keeper.Order) {
+		came := time.Now()
 		l.loop.Post(func() {
-			l.store.order(&o, func(r *keeper.Result) {
+			l.store.order(&o, came, func(r *keeper.Result) {
 				if r.Status == keeper.Done && o.Kind != keeper.ReadConfig {
 					l.afterPilots(func() { then(resultOf(r)) })
 					return
--- a/internal/lighthouse/store.go
+++ b/internal/lighthouse/store.go
@@ -84,17 +84,28 @@
 	}
 }
 
-// order has the keeper carry out an order; then gets the result, once.
-func (s *store) order(o *keeper.Order, then func(*keeper.Result)) {
-	if s.out == nil {
+// order has the keeper carry out an order that came at a time; then gets the result, once. An order that is too old when its turn comes is
+// not handed on, nor one that may be, as this process stood still: who gave it has given it again elsewhere, and others after it.
+func (s *store) order(o *keeper.Order, came time.Time, then func(*keeper.Result)) {
+	now := time.Now()
+	switch {
+	case s.out == nil:
 		then(&keeper.Result{Status: keeper.Unclear, Why: "no keeper can be reached"})
 		return
+	case now.Sub(came) >= orderTime, s.l.stood.just(now):
+		then(&keeper.Result{Status: keeper.Unclear, Why: "this lighthouse stood still, and the order may be old"})
+		return
 	}
 	s.lastID++
 	o.ID = s.lastID
 	id := o.ID
 	s.orders[id] = then
-	s.out.Say(o)
+	s.out.Say(signal.Late(func() any {
+		if time.Since(came) >= orderTime {
+			return nil
+		}
+		return o
+	}))
 	time.AfterFunc(orderTime, func() {
 		s.l.loop.Post(func() {
 			if f := s.orders[id]; f != nil {
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -178,7 +178,7 @@
 }
 
 // Late is a message that is made when its turn comes to be sent: what may be said can have changed while it waited. It is called once,
-// by the goroutine of the outbox.
+// by the goroutine of the outbox, and gives nil if nothing is to be said any more.
 type Late func() any
 
 // Outbox sends messages over a connection one after the other, so that who says them never waits.
@@ -209,7 +209,9 @@
 			return
 		case m := <-o.mail:
 			if late, ok := m.(Late); ok {
-				m = late()
+				if m = late(); m == nil {
+					continue
+				}
 			}
 			if o.conn.Send(m) != nil {
 				return
