Ask a peer's heads as soon as it is reached, so that a core that was killed is whole at once

Change: a connection made anew is asked the look under way, while there is no lease; what is mended without a lease is followed by a look at once.

--- a/internal/explore/process.go
+++ b/internal/explore/process.go
@@ -14,7 +14,7 @@
 	Answer(now time.Time, a *tide.Ask) (tide.Tell, tide.Out)
 	Told(now time.Time, t *tide.Tell) tide.Out
 	Resign(now time.Time) (tide.Out, string)
-	Renewed(addr string)
+	Renewed(now time.Time, addr string) tide.Out
 	Meet(addr string)
 	Peers() []string
 	Me() tide.Member
@@ -35,6 +35,7 @@
 func (m *machines) Tick(now time.Time) tide.Out             { return m.duty.Tick(now) }
 func (m *machines) Resign(now time.Time) (tide.Out, string) { return m.duty.Resign(now) }
 func (m *machines) State() helm.State                       { return m.duty.State() }
+func (m *machines) Due(now time.Time) time.Time             { return m.duty.Due(now) }
 
 // hooks alter the carrier or wrap the machines, so that a fault can be planted from a test. All may be nil.
 type hooks struct {
--- a/internal/explore/trouble.go
+++ b/internal/explore/trouble.go
@@ -135,7 +135,7 @@
 	for _, p := range w.live() {
 		for _, addr := range p.Peers() {
 			if p.at == m || addr == m.addr {
-				p.input(func() { p.Renewed(addr) })
+				p.input(func() { p.act(p.Renewed(w.time(), addr), nil) })
 			}
 		}
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -180,9 +180,9 @@
 		k.running.Go(box.Run)
 		k.loop.Post(func() {
 			k.peers[addr] = box
-			k.replica.Renewed(addr)
 			me := k.replica.Me()
 			box.Say(&me)
+			k.act(k.replica.Renewed(time.Now(), addr))
 		})
 		defer k.loop.Post(func() {
 			if k.peers[addr] == box {
--- a/internal/tide/lease.go
+++ b/internal/tide/lease.go
@@ -12,6 +12,7 @@
 	id    uint64
 	asked time.Time
 	own   []Head // as told
+	sum   uint64 // their digest
 	seen  map[string][]Head
 	need  map[string]Ballot // by key, the newest accepted that a quorum told of; nil until there is a quorum
 }
@@ -21,13 +22,15 @@
 	r.lastID++
 	r.looked = now
 	r.look = &look{id: r.lastID, asked: now, own: r.acceptor.Heads(), seen: map[string][]Head{}}
-	sum := digest(r.look.own)
+	r.look.sum = digest(r.look.own)
 	for _, addr := range r.Peers() {
-		r.ask(r.peers[addr], Ask{ID: r.look.id, Query: Look, Sum: sum})
+		r.askLook(r.peers[addr])
 	}
 	r.surveyed(now)
 }
 
+func (r *Replica) askLook(p *peer) { r.ask(p, Ask{ID: r.look.id, Query: Look, Sum: r.look.sum}) }
+
 // sighted takes the answer of one that was looked at, and mends from it what is newer there.
 func (r *Replica) sighted(now time.Time, p *peer, t *Tell) {
 	l := r.look
--- a/internal/tide/replica.go
+++ b/internal/tide/replica.go
@@ -153,11 +153,18 @@
 	}
 }
 
-// Renewed says that a connection to another was made anew: it is told everything again that it may not know.
-func (r *Replica) Renewed(addr string) {
-	if p := r.peers[addr]; p != nil {
-		p.epoch = 0
+// Renewed says that a connection to another was made anew: it is told everything again that it may not know, and the look under way is
+// asked of it if there is no lease yet.
+func (r *Replica) Renewed(now time.Time, addr string) Out {
+	p := r.peers[addr]
+	if p == nil {
+		return r.take()
+	}
+	p.epoch = 0
+	if r.look != nil && r.Lease(now) == 0 {
+		r.askLook(p)
 	}
+	return r.take()
 }
 
 // Peers are the addresses of the others, in order.
@@ -395,7 +402,9 @@
 		return r.take()
 	}
 	for _, x := range t.Register {
-		r.mend(now, x)
+		if r.mend(x) && r.Lease(now) == 0 {
+			r.looked = time.Time{} // what was missing for a lease, perhaps
+		}
 	}
 	if r.look != nil && r.look.id == t.ID {
 		r.sighted(now, p, t)
@@ -445,7 +454,7 @@
 				o.orders[i].end = Result{Outcome: Done}
 			}
 			if o.best.Accepted != (Ballot{}) {
-				r.mend(now, o.best)
+				r.mend(o.best)
 				r.note(now, o.best)
 			}
 			r.end(now, o)
@@ -550,14 +559,16 @@
 	}
 }
 
-// mend accepts what another has accepted, if it is newer.
-func (r *Replica) mend(now time.Time, x Register) {
+// mend accepts what another has accepted, if it is newer, and tells whether it did.
+func (r *Replica) mend(x Register) bool {
 	if x.Accepted == (Ballot{}) || r.acceptor.Get(x.Key).Accepted.Compare(x.Accepted) >= 0 {
-		return
+		return false
 	}
-	if _, changed := r.acceptor.Accept(x.Key, x.Accepted, x.Value); changed {
+	_, changed := r.acceptor.Accept(x.Key, x.Accepted, x.Value)
+	if changed {
 		r.keep(x.Key)
 	}
+	return changed
 }
 
 // adopt is the one function that changes the set gone by. Only what was chosen is ever told as a set.
