--- a/internal/shore/commands.go
+++ b/internal/shore/commands.go
@@ -25,6 +25,8 @@
 // Execute runs a program of the mesh with arguments and gives its exit code. Begin makes its process; more are commands beside
 // those that all programs have.
 func Execute[P Process](program string, args []string, begin func(*berth.Settings, zerolog.Logger) (P, error), more ...*ff.Command) int {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // up to the end: one that nobody hears ends a process, also one that finishes what it has
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	root := commands(program, func(s *berth.Settings, log zerolog.Logger) error {
@@ -32,7 +34,7 @@
 		if err != nil {
 			return err
 		}
-		go follow(ctx, s, log, p.Changed)
+		go follow(ctx, hup, s, log, p.Changed)
 		return p.Run(ctx)
 	})
 	root.Subcommands = append(root.Subcommands, more...)
--- a/internal/shore/shore.go
+++ b/internal/shore/shore.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,12 +51,9 @@
 	return s
 }
 
-// follow reads the settings again at SIGHUP and when the file has changed, until ctx ends. What cannot be used is told
+// follow reads the settings again when a hangup was heard and when the file has changed, until ctx ends. What cannot be used is told
 // and changes nothing.
-func follow(ctx context.Context, s *berth.Settings, log zerolog.Logger, changed func(*berth.Settings)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func follow(ctx context.Context, hup <-chan os.Signal, s *berth.Settings, log zerolog.Logger, changed func(*berth.Settings)) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	last := stat(s.Path)
