--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -28,7 +28,7 @@
 
 // fleet is some keepers on addresses of their own of the loopback network.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	port  int
 	seeds []string
 	disks string
@@ -41,7 +41,7 @@
 }
 
 // newFleet starts keepers with empty disks; the first three are the seeds.
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t testing.TB, n int) *fleet {
 	f := &fleet{t: t, disks: t.TempDir(), up: map[string]*running{}}
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
