Tell what is certain of a request by one state machine, with one function for its changes

Need: whether a request may have run and whether a connection may carry another was decided in nine places of upstream, passage and stream, each by itself.

Change: package exchange, pure: stages, events, one function, fate and reuse told by it. The sidecar's HTTP/1.1 pool and both hops of the pilots go by it; what they read and write is as before. The fates of a hop move there from package sidecar. A request that was called off before anything left is no longer noted as an endpoint's silence.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -14,6 +14,7 @@
 	"whinknot"
 	"whinknot/internal/beacon"
 	"whinknot/internal/chart"
+	"whinknot/internal/exchange"
 	"whinknot/internal/lamp"
 	"whinknot/internal/moorings"
 	"whinknot/internal/muster"
@@ -458,14 +459,14 @@
 			},
 		})
 		switch fate {
-		case sidecar.NeverWritten:
+		case exchange.NeverWritten:
 			f.p.witness.saw(f.name, x.Server, muster.Silent)
 			return sidecar.Word{Outcome: whinknot.ConnectFailed}
-		case sidecar.CalledOff:
+		case exchange.CalledOff:
 			return sidecar.Word{Outcome: whinknot.Cancelled}
-		case sidecar.TooLate:
+		case exchange.TooLate:
 			word = wordLate
-		case sidecar.Whole:
+		case exchange.Whole:
 			word, got = r.Header.Get(wordHeader), r
 			r.Header.Del(wordHeader)
 		}
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -11,6 +11,7 @@
 
 	"whinknot/internal/beacon"
 	"whinknot/internal/chart"
+	"whinknot/internal/exchange"
 	"whinknot/internal/lamp"
 	"whinknot/internal/muster"
 	"whinknot/internal/orders"
@@ -294,17 +295,17 @@
 }
 
 // health takes the answer to a probe.
-func (q *quay) health(fate sidecar.Fate, r *sidecar.Reply) {
+func (q *quay) health(fate exchange.Fate, r *sidecar.Reply) {
 	q.mu.Lock()
 	q.probing = false
 	state, life := q.gate.State()
 	changed := false
 	switch {
-	case fate == sidecar.NeverWritten:
+	case fate == exchange.NeverWritten:
 		if state == pier.Serving {
 			changed = q.enter(life, pier.Down)
 		}
-	case fate == sidecar.Whole && r.Header.Get(lifeHeader) != "":
+	case fate == exchange.Whole && r.Header.Get(lifeHeader) != "":
 		id := r.Header.Get(lifeHeader)
 		if r.Status == http.StatusOK && (state == pier.Unknown || state == pier.Down || id != life) {
 			changed = q.enter(id, pier.Serving)
@@ -464,11 +465,11 @@
 }
 
 // inside is what a call that was let in tells of the endpoint.
-func inside(fate sidecar.Fate, r *sidecar.Reply) (k muster.Kind, tells bool) {
+func inside(fate exchange.Fate, r *sidecar.Reply) (k muster.Kind, tells bool) {
 	switch {
-	case fate == sidecar.CalledOff, fate == sidecar.Whole && r.Header.Get(behindHeader) != "":
+	case fate == exchange.CalledOff, fate == exchange.Whole && r.Header.Get(behindHeader) != "":
 		return 0, false
-	case fate != sidecar.Whole || r.Status >= 500 && r.Header.Get(notRunHeader) == "" || r.Status < 300 && r.Header.Get(sealHeader) == "":
+	case fate != exchange.Whole || r.Status >= 500 && r.Header.Get(notRunHeader) == "" || r.Status < 300 && r.Header.Get(sealHeader) == "":
 		return muster.Failed, true
 	}
 	return muster.Good, true
@@ -529,7 +530,7 @@
 	}, p.until)
 	q.mu.Lock()
 	q.gate.Leaves(t)
-	if fate == sidecar.NeverWritten {
+	if fate == exchange.NeverWritten {
 		q.fails++
 	} else {
 		q.fails = 0
@@ -540,7 +541,7 @@
 	if suspect {
 		q.ask()
 	}
-	if fate == sidecar.Whole {
+	if fate == exchange.Whole {
 		stripOwn(r.Header)
 		if r.Status >= http.StatusInternalServerError && q.p.failedSince(begun) {
 			r.Header.Set(behindHeader, "1")
@@ -551,11 +552,11 @@
 		q.p.witness.sawInside(target, p.life, kind)
 	}
 	switch fate {
-	case sidecar.Whole:
+	case exchange.Whole:
 		return wordAnswer, r
-	case sidecar.NeverWritten:
+	case exchange.NeverWritten:
 		return wordNever, nil
-	case sidecar.TooLate:
+	case exchange.TooLate:
 		return wordLate, nil
 	}
 	return wordLost, nil
--- a/internal/sidecar/asks_test.go
+++ b/internal/sidecar/asks_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"whinknot/internal/exchange"
 )
 
 // picky is a desk that takes every other request.
@@ -45,7 +47,7 @@
 		}
 		port.front.callers.mu.Unlock()
 		fate, r := w.Cross(t.Context(), hop, time.Now().Add(time.Minute))
-		if want := []string{"200 200000", "503 "}[i%2]; fate != Whole || fmt.Sprintf("%d %s", r.Status, r.Body) != want {
+		if want := []string{"200 200000", "503 "}[i%2]; fate != exchange.Whole || fmt.Sprintf("%d %s", r.Status, r.Body) != want {
 			t.Fatalf("crossing %d: fate %d, %+v, want %s", i, fate, r, want)
 		}
 	}
@@ -60,11 +62,11 @@
 	w.Moor(mute.Addr().String(), 2)
 	soon := *hop
 	soon.Asks = 10 * time.Millisecond
-	if fate, _ := w.Cross(t.Context(), &soon, time.Now().Add(time.Minute)); fate != NeverWritten {
+	if fate, _ := w.Cross(t.Context(), &soon, time.Now().Add(time.Minute)); fate != exchange.NeverWritten {
 		t.Errorf("one that says nothing: fate %d", fate)
 	}
 	mute.Close()
-	if fate, _ := w.Cross(t.Context(), hop, time.Now().Add(time.Minute)); fate != NeverWritten {
+	if fate, _ := w.Cross(t.Context(), hop, time.Now().Add(time.Minute)); fate != exchange.NeverWritten {
 		t.Errorf("with nobody there: fate %d", fate)
 	}
 }
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -12,21 +12,10 @@
 	"time"
 
 	"whinknot"
+	"whinknot/internal/exchange"
 	"whinknot/internal/wire"
 )
 
-// Fate is how far an exchange with a peer got, as far as this end can tell for certain.
-type Fate uint8
-
-// The fates.
-const (
-	NeverWritten Fate = iota // not all of the request left: it cannot have run
-	Whole                    // an answer came whole
-	Broken                   // it was written, and then there was no sound answer
-	TooLate                  // it was written, and no answer came in time
-	CalledOff                // it was written, and nobody wants the answer any more
-)
-
 // hop is what one exchange sends, and what it takes for the answer.
 type hop struct {
 	head func(left time.Duration) []byte // lines without the length and the empty line
@@ -37,14 +26,12 @@
 	asks time.Duration // the body follows once the server has said that it takes it, within this time; 0 for at once
 }
 
-const strayAnswers = 4 // of other requests that are passed over before the wanted one
-
 // cross carries a hop to a server and back.
-func (u *upstream) cross(a *attempt, e *endpoint, h *hop, until time.Time) (Fate, *Reply) {
+func (u *upstream) cross(a *attempt, e *endpoint, h *hop, until time.Time) (exchange.Fate, *Reply) {
 	defer a.cancel()
 	c, err := u.connect(a.ctx, e, until)
 	if err != nil {
-		return NeverWritten, nil
+		return exchange.NeverWritten, nil
 	}
 	rested := time.Duration(0) // it was idle for so long before
 	if !c.since.IsZero() {
@@ -68,16 +55,16 @@
 
 // learnIdle learns how long connections may be idle: one that broke off after a rest was forgotten by its server, perhaps, and a
 // request that may have run is the price.
-func (u *upstream) learnIdle(rested time.Duration, f Fate) {
+func (u *upstream) learnIdle(rested time.Duration, f exchange.Fate) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.idleMost == 0 {
 		u.idleMost = u.idleLimit
 	}
 	switch {
-	case f == Broken && rested > idleLeast:
+	case f == exchange.Broken && rested > idleLeast:
 		u.idleLimit = max(min(u.idleLimit, time.Duration(idlePart*float64(rested))), idleLeast)
-	case f == Whole && rested > time.Duration(idlePart*float64(u.idleLimit)):
+	case f == exchange.Whole && rested > time.Duration(idlePart*float64(u.idleLimit)):
 		u.idleLimit = min(time.Duration(idleGrows*float64(u.idleLimit)), u.idleMost)
 	}
 }
@@ -97,7 +84,13 @@
 }
 
 // over does so on a connection, and tells whether it can be used again.
-func (u *upstream) over(a *attempt, c *conn, h *hop, until time.Time) (Fate, *Reply, bool) {
+func (u *upstream) over(a *attempt, c *conn, h *hop, until time.Time) (exchange.Fate, *Reply, bool) {
+	got := u.through(a, c, h, until)
+	return c.x.Fate, got, c.x.Reusable()
+}
+
+// through carries a hop over a connection; its fate is the connection's then. It gives the answer of one that ended whole.
+func (u *upstream) through(a *attempt, c *conn, h *hop, until time.Time) *Reply {
 	c.SetDeadline(until)
 	var text bytes.Buffer
 	text.Write(h.head(max(time.Until(until), 0)))
@@ -109,46 +102,57 @@
 	}
 	text.WriteString("\r\n")
 	if !a.claim() {
-		return NeverWritten, nil, true
+		c.meets(exchange.Abandoned)
+		return nil
 	}
+	c.meets(exchange.Begins)
 	next := readAnswerHead
 	if h.asks > 0 {
 		no, err := askFirst(c, text.Bytes(), h.asks, until)
 		if err != nil {
-			return fateOf(brokenOff(a, err, whinknot.ConnectFailed)), nil, false
+			c.fails(a, err)
+			return nil
 		}
 		if no != nil {
 			next = no
-		} else if n, err := c.Write(h.body); err != nil || n < len(h.body) {
-			return NeverWritten, nil, false
+		} else if _, err := c.Write(h.body); err != nil {
+			c.fails(a, err)
+			return nil
+		} else {
+			c.meets(exchange.Written)
 		}
 	} else if err := writeBoth(c, &text, h.body); err != nil {
-		return NeverWritten, nil, false
+		c.fails(a, err)
+		return nil
+	} else {
+		c.meets(exchange.Written)
 	}
 	u.written.Add(1)
-	for range strayAnswers {
+	for c.x.Stage != exchange.Over {
 		status, m, err := next(c.reader)
 		next = readAnswerHead
-		if err != nil {
-			return fateOf(brokenOff(a, err, whinknot.Reset)), nil, false
-		}
 		var body []byte
-		if !bodiless(status) {
+		if err == nil && !bodiless(status) {
 			if m.length == untold {
-				return Broken, nil, false
-			}
-			if body, err = readWhole(c.reader, m.length, h.most); err != nil {
-				return fateOf(brokenOff(a, err, whinknot.Reset)), nil, false
+				err = errLength
+			} else {
+				body, err = readWhole(c.reader, m.length, h.most)
 			}
 		}
+		if err != nil {
+			c.fails(a, err)
+			return nil
+		}
 		if got := m.header.Get("X-Attempt-Id"); h.id != "" && got != h.id && (got != "" || status < 300) {
-			continue // an answer too many, to an earlier request
+			c.meets(exchange.Stray) // an answer too many, to an earlier request
+			continue
 		}
+		c.meets(exchange.Owns)
+		c.ends(&m)
 		u.told(m.header)
-		keep := m.lasts() && c.reader.Buffered() == 0 && stillOpen(c.Conn)
-		return Whole, &Reply{Status: status, Header: endToEnd(m.header), Body: body}, keep
+		return &Reply{Status: status, Header: endToEnd(m.header), Body: body}
 	}
-	return Broken, nil, false
+	return nil
 }
 
 // writeBoth writes a head and a body, together where that is cheap.
@@ -170,6 +174,7 @@
 	if _, err := c.Write(head); err != nil {
 		return nil, err
 	}
+	c.meets(exchange.Asks)
 	if by := time.Now().Add(within); by.Before(until) {
 		c.SetReadDeadline(by)
 		defer c.SetReadDeadline(until)
@@ -183,6 +188,7 @@
 	case err != nil:
 		return nil, err
 	case status == http.StatusContinue:
+		c.meets(exchange.Invited)
 		return nil, nil
 	case status < http.StatusOK:
 		return nil, errHead
@@ -190,18 +196,6 @@
 	return func(*bufio.Reader) (int, message, error) { return status, m, nil }, nil
 }
 
-func fateOf(o whinknot.Outcome) Fate {
-	switch o {
-	case whinknot.ConnectFailed:
-		return NeverWritten
-	case whinknot.Cancelled:
-		return CalledOff
-	case whinknot.Timeout:
-		return TooLate
-	}
-	return Broken
-}
-
 // Hop is one exchange with a peer: the lines of its head, with what is left of the time, and its body.
 type Hop struct {
 	Head func(left time.Duration) []byte // without a length and the empty line
@@ -240,10 +234,10 @@
 }
 
 // Cross carries a hop to the server.
-func (w *Wharf) Cross(ctx context.Context, h *Hop, until time.Time) (Fate, *Reply) {
+func (w *Wharf) Cross(ctx context.Context, h *Hop, until time.Time) (exchange.Fate, *Reply) {
 	e := w.up.find(wharfServer)
 	if e == nil {
-		return NeverWritten, nil
+		return exchange.NeverWritten, nil
 	}
 	a := newAttempt(time.Time{})
 	stop := context.AfterFunc(ctx, a.callOff)
@@ -286,7 +280,9 @@
 }
 
 // Over carries a hop to the server.
-func (x *Crossing) Over(h *Hop) (Fate, *Reply) { return x.up.cross(x.a, x.e, h.hop(), x.Until) }
+func (x *Crossing) Over(h *Hop) (exchange.Fate, *Reply) {
+	return x.up.cross(x.a, x.e, h.hop(), x.Until)
+}
 
 // passage is a request that a job's own crossing carries.
 type passage struct {
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"whinknot"
+	"whinknot/internal/exchange"
 )
 
 // Bodies of over maxBody are not held: they stream through a buffer of bounded size, once. A request whose body streams
@@ -87,11 +88,10 @@
 	return readFirst(r, time.Now().Add(holdTime))
 }
 
-// newFlow is what streams of an answer. Its connection goes on behind it if lasts says so.
-func newFlow(rest io.Reader, a *attempt, c *conn, out *outgoing, lasts bool) *flow {
+// newFlow is what streams of an answer.
+func newFlow(rest io.Reader, a *attempt, c *conn, out *outgoing) *flow {
 	return &flow{
 		from: rest, conn: c, attempt: a, idle: out.bounds.idle, end: time.Now().Add(out.bounds.total), done: make(chan error, 1),
-		lasts: lasts,
 	}
 }
 
@@ -297,7 +297,6 @@
 	attempt *attempt
 	idle    time.Duration
 	end     time.Time
-	lasts   bool       // its connection goes on after it
 	done    chan error // what became of it: nil, an error of the server's, or errCaller
 }
 
@@ -368,14 +367,14 @@
 	case err := <-got.rest.done:
 		switch {
 		case err == nil:
-			return whinknot.OK, got.rest.lasts && c.reader.Buffered() == 0 && stillOpen(c.Conn)
-		case err == errCaller || a.ctx.Err() != nil:
-			return whinknot.Cancelled, false
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return whinknot.Timeout, false
+			return whinknot.OK, c.rests()
+		case err == errCaller:
+			c.meets(exchange.Abandoned)
+		default:
+			c.fails(a, err)
 		}
-		return whinknot.Reset, false
 	case <-a.ctx.Done():
-		return whinknot.Cancelled, false
+		c.meets(exchange.Abandoned)
 	}
+	return outcomeOf(c.x.Fate), false
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -19,6 +19,7 @@
 
 	"whinknot"
 	"whinknot/internal/budget"
+	"whinknot/internal/exchange"
 	"whinknot/internal/grpcfront"
 	"whinknot/internal/h2"
 )
@@ -82,7 +83,8 @@
 	net.Conn
 	reader *bufio.Reader
 	home   *endpoint
-	since  time.Time // idle since then
+	since  time.Time         // idle since then
+	x      exchange.Exchange // the one on it, or the last
 	mux    *h2.Conn
 	// Of one with a mux, guarded by upstream.mu:
 	using   int  // attempts on it
@@ -278,29 +280,37 @@
 		text.Write(out.body)
 	}
 	if !a.claim() {
-		return whinknot.Cancelled, nil, false
+		c.meets(exchange.Abandoned)
+		return whinknot.Cancelled, nil, c.x.Reusable()
 	}
 	if !a.begin.IsZero() && time.Now().After(a.begin) {
-		return whinknot.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
+		return whinknot.ConnectFailed, nil, c.x.Reusable() // its endpoint may have been told to drain meanwhile
 	}
 	if up := out.upload; up != nil {
 		if !up.claim() {
-			return whinknot.NotSent, nil, true
+			return whinknot.NotSent, nil, c.x.Reusable()
 		}
+		c.meets(exchange.Begins)
 		if err := up.send(text.Bytes(), out.body, c); up.err != nil {
-			return whinknot.Cancelled, nil, false // its caller's fault; what came cannot have run
+			c.meets(exchange.Abandoned) // its caller's fault; what came cannot have run
+			return whinknot.Cancelled, nil, false
 		} else if err != nil {
-			return brokenOff(a, err, whinknot.ConnectFailed), nil, false
+			return c.broken(a, err)
 		}
 		if by := time.Now().Add(out.within); by.Before(until) {
 			c.SetDeadline(by)
 			if a.ctx.Err() != nil {
+				c.meets(exchange.Abandoned)
 				return whinknot.Cancelled, nil, false
 			}
 		}
-	} else if n, err := c.Write(text.Bytes()); n < text.Len() {
-		return brokenOff(a, err, whinknot.ConnectFailed), nil, false
+	} else {
+		c.meets(exchange.Begins)
+		if _, err := c.Write(text.Bytes()); err != nil {
+			return c.broken(a, err)
+		}
 	}
+	c.meets(exchange.Written)
 	u.written.Add(1)
 	if out.open {
 		return openAnswer(a, c, out)
@@ -313,19 +323,22 @@
 func platformAnswer(a *attempt, c *conn, out *outgoing) (whinknot.Outcome, *answer, bool) {
 	status, m, body, rest, err := readAnswer(c.reader)
 	if err != nil {
-		return brokenOff(a, err, whinknot.Reset), nil, false
+		return c.broken(a, err)
+	}
+	c.meets(exchange.Owns)
+	if m.length == untold && rest != nil { // its end is the connection's
+		c.meets(exchange.Closes)
 	}
-	lasts := m.lasts() && m.length != untold
 	if rest != nil {
+		c.closes(&m)
 		got := &answer{status: status, length: m.length, body: body, header: endToEnd(m.header)}
 		if m.length == untold {
 			got.length = chunked
 		}
-		got.rest = newFlow(rest, a, c, out, lasts)
+		got.rest = newFlow(rest, a, c, out)
 		return whinknot.OK, got, false
 	}
-	// Bytes behind a sound answer do not spoil it, but no answer read after them can be trusted.
-	keep := lasts && c.reader.Buffered() == 0 && stillOpen(c.Conn)
+	keep := c.ends(&m)
 	switch {
 	case status == http.StatusOK:
 		return whinknot.OK, &answer{status: status, header: endToEnd(m.header), body: body}, keep
@@ -342,8 +355,9 @@
 func openAnswer(a *attempt, c *conn, out *outgoing) (whinknot.Outcome, *answer, bool) {
 	status, m, err := readAnswerHead(c.reader)
 	if err != nil {
-		return brokenOff(a, err, whinknot.Reset), nil, false
+		return c.broken(a, err)
 	}
+	c.meets(exchange.Owns)
 	got := &answer{status: status, length: m.length, bare: out.bare || bodiless(status)}
 	if bodiless(status) {
 		got.length = untold
@@ -352,7 +366,7 @@
 	switch {
 	case got.bare:
 	case m.length == untold: // it may have been cut off
-		return whinknot.Reset, nil, false
+		err = errLength
 	case m.length == chunked:
 		got.body, rest, err = readFirst(newTrailed(c.reader), time.Time{})
 	case m.length > maxBody:
@@ -361,10 +375,14 @@
 		got.body, err = readBody(c.reader, m.length)
 	}
 	if err != nil {
-		return brokenOff(a, err, whinknot.Reset), nil, false
+		return c.broken(a, err)
+	}
+	keep := false
+	if rest == nil {
+		keep = c.ends(&m)
+	} else {
+		c.closes(&m)
 	}
-	lasts := m.lasts()
-	keep := rest == nil && lasts && c.reader.Buffered() == 0 && stillOpen(c.Conn)
 	notRun := m.header.Get("X-Not-Run") == "1"
 	word := m.header.Get(outcomeHeader)
 	a.final = a.context != "" && word != ""
@@ -375,7 +393,7 @@
 	}
 	switch {
 	case notRun && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout):
-		return whinknot.Full, nil, keep && rest == nil
+		return whinknot.Full, nil, keep
 	case status >= 500 || status == http.StatusTooManyRequests: // it may have run, whatever the status promises
 		if rest != nil || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 			return whinknot.Error, nil, keep
@@ -384,7 +402,7 @@
 		return whinknot.Error, got, keep
 	}
 	if rest != nil {
-		got.rest = newFlow(rest, a, c, out, lasts)
+		got.rest = newFlow(rest, a, c, out)
 	}
 	if status >= 400 && rest == nil {
 		return whinknot.Cancelled, got, keep
@@ -392,16 +410,61 @@
 	return whinknot.OK, got, keep
 }
 
-// brokenOff names the outcome of an exchange that ended with an error: called off, out of time, or broken.
-// A request that was not written whole never ran, whatever stopped it.
-func brokenOff(a *attempt, err error, broken whinknot.Outcome) whinknot.Outcome {
+// meets has the exchange on the connection go on.
+func (c *conn) meets(e exchange.Event) { c.x = c.x.Next(e) }
+
+// fails ends the exchange by an error: called off, out of time, or broken.
+func (c *conn) fails(a *attempt, err error) {
 	switch {
 	case a.ctx.Err() != nil:
+		c.meets(exchange.Abandoned)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.meets(exchange.Silence)
+	default:
+		c.meets(exchange.Breaks)
+	}
+}
+
+// broken does so, for the outcome of an attempt.
+func (c *conn) broken(a *attempt, err error) (whinknot.Outcome, *answer, bool) {
+	c.fails(a, err)
+	return outcomeOf(c.x.Fate), nil, false
+}
+
+// closes notes whether a peer keeps the connection behind an answer.
+func (c *conn) closes(m *message) {
+	if !m.lasts() {
+		c.meets(exchange.Closes)
+	}
+}
+
+// ends notes that an answer has come whole, and tells whether the connection can be used again. Bytes behind a sound answer
+// do not spoil it, but no answer read after them can be trusted.
+func (c *conn) ends(m *message) bool {
+	c.closes(m)
+	return c.rests()
+}
+
+// rests does so where the answer's head has been heard.
+func (c *conn) rests() bool {
+	c.meets(exchange.Finishes)
+	if c.x.Reusable() && (c.reader.Buffered() > 0 || !stillOpen(c.Conn)) {
+		c.meets(exchange.Surplus)
+	}
+	return c.x.Reusable()
+}
+
+// outcomeOf is how the module names the end of an attempt without an answer.
+func outcomeOf(f exchange.Fate) whinknot.Outcome {
+	switch f {
+	case exchange.NeverWritten: // whatever stopped it
+		return whinknot.ConnectFailed
+	case exchange.CalledOff:
 		return whinknot.Cancelled
-	case broken == whinknot.Reset && errors.Is(err, os.ErrDeadlineExceeded):
+	case exchange.TooLate:
 		return whinknot.Timeout
 	}
-	return broken
+	return whinknot.Reset
 }
 
 var errNoRoom = errors.New("no descriptor left for a connection")
@@ -413,7 +476,11 @@
 		if c == nil {
 			break
 		}
-		if stillOpen(c.Conn) {
+		if !stillOpen(c.Conn) {
+			c.meets(exchange.Surplus)
+		}
+		if c.x.Reusable() {
+			c.x = exchange.Exchange{}
 			return c, nil
 		}
 		u.discard(c)
