Believe an answer only by the id of its own request: one without an id is nobody's

Cause: an endpoint's answer that named no request was taken for the one expected if its status was 300 or more, and one with two ids by its first. A surplus failure without an id, said in the place of the next answer, went to the next caller with its seal; a surplus refusal without one (X-Not-Executed) had a payment that was running sent a second time. Endpoints echo the id in every answer (PROTOCOL.md), so what bears none is no answer to a request that has one.

Change: exchange.Belongs is the one rule: one id, the request's own; of an own program's answers, which come in turn, none may be left out but another's may not stand there.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -116,3 +116,15 @@
 func (x Exchange) Reusable() bool {
 	return !x.spoilt && (x.Stage == Resting || x.Stage == Over && x.Fate == Whole)
 }
+
+// Belongs tells whether an answer that names the requests got is the answer to the request want, which may have no name. One that names
+// none can be anybody's: only a peer that is a program of our own, and answers each request in its turn, may leave the name out.
+func Belongs(want string, got []string, own bool) bool {
+	switch {
+	case len(got) == 0 || len(got) == 1 && got[0] == "":
+		return own || want == ""
+	case len(got) == 1:
+		return got[0] == want
+	}
+	return false
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -72,3 +72,21 @@
 		}
 	}
 }
+
+// An answer is told to be a request's own by its name alone, but for a peer of our own.
+func TestBelongs(t *testing.T) {
+	for _, c := range []struct {
+		want string
+		got  []string
+		own  bool
+		is   bool
+	}{
+		{"a", []string{"a"}, false, true}, {"a", []string{"b"}, false, false}, {"a", nil, false, false}, {"a", []string{""}, false, false},
+		{"a", []string{"a", "b"}, false, false}, {"a", []string{"a", "a"}, true, false}, {"a", nil, true, true}, {"a", []string{"b"}, true, false},
+		{"", nil, false, true}, {"", []string{"a"}, false, false}, {"", []string{"a"}, true, false}, {"", []string{""}, true, true},
+	} {
+		if is := Belongs(c.want, c.got, c.own); is != c.is {
+			t.Errorf("%q to %q, own %v: %v", c.got, c.want, c.own, is)
+		}
+	}
+}
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -437,7 +437,7 @@
 			asks = patience + asksTime
 		}
 		fate, r := x.Over(&sidecar.Hop{
-			Body: t.e.Body, Bare: t.e.Method == http.MethodGet, Most: mostBody, Asks: asks,
+			Body: t.e.Body, Bare: t.e.Method == http.MethodGet, ID: t.e.Header.Get(idHeader), Own: true, Most: mostBody, Asks: asks,
 			Head: func(left time.Duration) []byte {
 				var b bytes.Buffer
 				t.head(&b, x.Server)
@@ -509,7 +509,7 @@
 	switch {
 	case word == wordLate:
 		return sidecar.Word{Outcome: whinknot.Timeout}
-	case word != wordAnswer || r == nil:
+	case word != wordAnswer || r == nil || !exchange.Belongs(t.e.Header.Get(idHeader), r.Header[idHeader], false):
 		return sidecar.Word{Outcome: whinknot.Reset}
 	case r.Header.Get(notRunHeader) != "" || r.Status == http.StatusMisdirectedRequest:
 		if r.Status == http.StatusMisdirectedRequest {
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -21,7 +21,8 @@
 	head func(left time.Duration) []byte // lines without the length and the empty line
 	body []byte
 	get  bool          // no length is told for an empty body
-	id   string        // answers name it in X-Attempt-Id; what names another belongs to another request; "" for any
+	id   string        // answers name it in X-Attempt-Id: see exchange.Belongs
+	own  bool          // the peer is a program of our own
 	most int64         // bytes of an answer's body
 	asks time.Duration // the body follows once the server has said that it takes it, within this time; 0 for at once
 }
@@ -143,8 +144,8 @@
 			c.fails(a, err)
 			return nil
 		}
-		if got := m.header.Get("X-Attempt-Id"); h.id != "" && got != h.id && (got != "" || status < 300) {
-			c.meets(exchange.Stray) // an answer too many, to an earlier request
+		if !exchange.Belongs(h.id, m.header["X-Attempt-Id"], h.own) {
+			c.meets(exchange.Stray)
 			continue
 		}
 		c.meets(exchange.Owns)
@@ -201,7 +202,8 @@
 	Head func(left time.Duration) []byte // without a length and the empty line
 	Body []byte
 	Bare bool   // an empty body has no length told
-	ID   string // the peer's answer names it in X-Attempt-Id; "" for any
+	ID   string // the peer's answer names it in X-Attempt-Id; what names another, or none, is no answer to this
+	Own  bool   // the peer is a program of our own: its answers come in turn, and may name none
 	Most int64  // bytes of the answer's body
 	// Asks is how long to wait for the peer's word that it takes the body, which is sent only then: without it nothing has run. 0 for not
 	// to ask.
@@ -209,7 +211,7 @@
 }
 
 func (h *Hop) hop() *hop {
-	out := &hop{head: h.Head, body: h.Body, get: h.Bare, id: h.ID, most: h.Most}
+	out := &hop{head: h.Head, body: h.Body, get: h.Bare, id: h.ID, own: h.Own, most: h.Most}
 	if len(h.Body) > 0 {
 		out.asks = h.Asks
 	}
