Refuse an answer's head that has another answer's first line in its middle

Cause: the beginning of an answer that was cut off in its first line or a header, said in the place of the next one, was read together with that as one head: the status of one with the id, the seal and the body of the other. A payment's 500 went to its client as a sealed 200, and a 200 as a 409.

Change: a status line within the first line or a header's value is no answer; the exchange ends as one that may have run. The liar says its id before or behind the seal, and tears at each of fifty places.

--- a/internal/sidecar/liar_test.go
+++ b/internal/sidecar/liar_test.go
@@ -68,6 +68,11 @@
 		"a refusal without an id, in the place of the next answer": {
 			[]standin.Trick{with(func(t *standin.Trick) { t.Extra, t.When = standin.NoRefusal, standin.Before }), plain}, []int{0, 0}, []bool{true, true},
 		},
+		"the beginning of an answer, cut in its first line, in the place of the next answer": {
+			[]standin.Trick{
+				with(func(t *standin.Trick) { t.Extra, t.When = standin.Torn, standin.Before }), with(func(t *standin.Trick) { t.Status = 500 }),
+			}, []int{0, 0}, []bool{true, false},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			facts := &rules.Answers{}
--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -191,13 +191,40 @@
 	return 0, m, errTooLong
 }
 
+// joined tells whether an answer's status line stands in the middle of this head: the beginning of an answer that was cut off, and
+// behind it another, read as one.
+func (m *message) joined() bool {
+	if hasStatusLine(m.first[len("HTTP/1.1"):]) {
+		return true
+	}
+	for _, values := range m.header {
+		if slices.ContainsFunc(values, hasStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasStatusLine(s string) bool {
+	const version = "HTTP/1."
+	for {
+		at := strings.Index(s, version)
+		if at < 0 {
+			return false
+		}
+		if s = s[at+len(version):]; len(s) > 2 && s[1] == ' ' && s[2] >= '0' && s[2] <= '9' {
+			return true
+		}
+	}
+}
+
 // status reads the status of an answer's head.
 func (m *message) status() (int, error) {
 	version, rest, _ := strings.Cut(m.first, " ")
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.Atoi(code)
 	bad := err != nil || len(code) != 3 || version != "HTTP/1.1" && version != "HTTP/1.0"
-	if bad || status < http.StatusContinue || status == http.StatusSwitchingProtocols {
+	if bad || status < http.StatusContinue || status == http.StatusSwitchingProtocols || m.joined() {
 		return 0, errHead
 	}
 	return status, nil
--- a/internal/standin/liar.go
+++ b/internal/standin/liar.go
@@ -39,7 +39,7 @@
 	Older           // a sealed success of a request that was never there
 	Continue        // an interim answer
 	Junk            // bytes that are no answer
-	Torn            // the beginning of an answer
+	Torn            // the beginning of its last answer, cut in the first line or a header
 )
 
 // When an extra is said.
@@ -241,7 +241,7 @@
 		l.cut(c, t.Cut)
 		return nil, false
 	}
-	extra := l.extra(id, text, t.Extra)
+	extra := l.extra(id, n, text, t.Extra)
 	if t.When == Behind {
 		text = append(bytes.Clone(text), extra...)
 	}
@@ -290,17 +290,18 @@
 		first = "HTP/11 what"
 	}
 	b.WriteString(first + "\r\n")
-	switch t.ID {
-	case 0:
-		b.WriteString("X-Attempt-Id: " + id + "\r\n")
-	case 1:
-		b.WriteString("X-Attempt-Id: older-" + id + "\r\n")
-	case 3:
-		b.WriteString("X-Attempt-Id: " + id + "\r\nX-Attempt-Id: older-" + id + "\r\n")
+	named := [...]string{
+		"X-Attempt-Id: " + id + "\r\n", "X-Attempt-Id: older-" + id + "\r\n", "", "X-Attempt-Id: " + id + "\r\nX-Attempt-Id: older-" + id + "\r\n",
+	}[t.ID]
+	if run%2 == 0 {
+		b.WriteString(named)
 	}
 	if seal != "" {
 		b.WriteString("X-Server-Seal: " + seal + "\r\n")
 	}
+	if run%2 != 0 {
+		b.WriteString(named)
+	}
 	if t.Refuses || t.Both && status/100 == 2 {
 		b.WriteString("X-Not-Executed: 1\r\n")
 	}
@@ -325,7 +326,7 @@
 	return b.Bytes()
 }
 
-func (l *Liar) extra(id string, last []byte, e Extra) []byte {
+func (l *Liar) extra(id string, n int, last []byte, e Extra) []byte {
 	switch e {
 	case Again:
 		return last
@@ -342,7 +343,7 @@
 	case Junk:
 		return []byte("what?\r\n\r\n")
 	case Torn:
-		return last[:min(len(last)/2, 15+len(id)%40)]
+		return last[:min(len(last)/2, 12+n%50)]
 	}
 	return nil
 }
