Send a request again only on a connection that has not carried it lately

Cause: the id tells answers of two requests apart, but not two answers to one request that was sent twice. An endpoint refused (X-Not-Executed) and said so once more; the request was sent again on the same connection, the surplus refusal was read in the place of the answer, and a payment that was running went out a third time.

Change: a connection knows the ids of the last eight requests on it; one of them sent again takes another connection. The hop between pilots is left out: own programs say each answer once.

Measured: TestFoundLies fails without it.

--- a/internal/sidecar/liar_test.go
+++ b/internal/sidecar/liar_test.go
@@ -73,6 +73,9 @@
 				with(func(t *standin.Trick) { t.Extra, t.When = standin.Torn, standin.Before }), with(func(t *standin.Trick) { t.Status = 500 }),
 			}, []int{0, 0}, []bool{true, false},
 		},
+		"a refusal once more, in the place of the next answer": {
+			[]standin.Trick{with(func(t *standin.Trick) { t.Refuses, t.Extra, t.When = true, standin.Again, standin.Before }), plain}, []int{0}, []bool{true},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			facts := &rules.Answers{}
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -31,6 +31,10 @@
 func (u *upstream) cross(a *attempt, e *endpoint, h *hop, until time.Time) (exchange.Fate, *Reply) {
 	defer a.cancel()
 	c, err := u.connect(a.ctx, e, until)
+	for err == nil && !h.own && c.carried(h.id) {
+		u.discard(c)
+		c, err = u.connect(a.ctx, e, until)
+	}
 	if err != nil {
 		return exchange.NeverWritten, nil
 	}
@@ -107,6 +111,7 @@
 		return nil
 	}
 	c.meets(exchange.Begins)
+	c.carries(h.id)
 	next := readAnswerHead
 	if h.asks > 0 {
 		no, err := askFirst(c, text.Bytes(), h.asks, until)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -83,14 +83,29 @@
 	net.Conn
 	reader *bufio.Reader
 	home   *endpoint
-	since  time.Time         // idle since then
-	x      exchange.Exchange // the one on it, or the last
+	since  time.Time            // idle since then
+	x      exchange.Exchange    // the one on it, or the last
+	names  [carriedNames]string // of the last requests on it whose answers bear names
+	named  int                  // how many there were
 	mux    *h2.Conn
 	// Of one with a mux, guarded by upstream.mu:
 	using   int  // attempts on it
 	counted bool // among the open connections
 }
 
+// carriedNames is for how many requests after it a request is not sent again on the same connection.
+const carriedNames = 8
+
+// carries notes the name of a request that the connection carries.
+func (c *conn) carries(id string) {
+	c.names[c.named%carriedNames] = id
+	c.named++
+}
+
+// carried tells whether the connection has carried a request of a name lately: an answer to that, said once more, could not be told from
+// one to the same request sent again.
+func (c *conn) carried(id string) bool { return id != "" && slices.Contains(c.names[:], id) }
+
 // upstream owns all connections to endpoints.
 type upstream struct {
 	dialTimeout, idleLimit time.Duration
