Hear a peer that answers before it has the whole request, and doubt a refusal behind another answer

Cause: a write that failed was told as never written without a look at what the peer had said: an endpoint that had begun work on a large body's first part and answered 500 had the payment sent again. And a refusal was believed behind an answer that named another request, which may have been what this one was given: the payment ran, and went out again.

Change: after a write that fails what the peer has said is read: its own answer goes to the caller; any other final bytes make it one that may have run; only where nothing came is it never written. A refusal (X-Not-Executed, 421) is believed only if no other answer came before it on this exchange, and never of a success. While a body waits for the word that it is taken, interim answers and another's answer are passed over; a call-off is not overwritten by a new bound.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -37,6 +37,7 @@
 	Stray                  // a whole final answer that belongs to another request
 	Owns                   // the head of the request's own final answer
 	Finishes               // the last byte of that answer
+	Mumbles                // bytes that are no answer, while the request has not left whole
 	Breaks                 // a reset, an end, or bytes that are no answer
 	Silence                // the time is over
 	Abandoned              // nobody wants the answer any more
@@ -75,11 +76,14 @@
 		x.Stage = Writing
 	case x.Stage == Writing && h == Written:
 		x.Stage = Awaiting
-	case x.Stage == Awaiting && h == Stray:
+	case h == Stray && x.Stage >= Writing && x.Stage <= Awaiting:
 		if x.strays++; x.strays >= mostStrays {
-			return x.end(Broken)
+			return x.cut(Breaks)
 		}
-	case (x.Stage == Awaiting || x.Stage == Asking) && h == Owns:
+	case h == Mumbles && x.Stage == Writing: // it has begun to answer what it does not have whole
+		return x.end(Broken)
+	case h == Owns && x.Stage >= Writing && x.Stage <= Awaiting:
+		x.spoilt = x.spoilt || x.Stage == Writing // nobody can tell what of the request will be read
 		x.Stage = Receiving
 	case x.Stage == Receiving && h == Finishes:
 		x.Stage, x.Fate = Over, Whole
@@ -99,7 +103,7 @@
 		return x
 	case h == Abandoned:
 		return x.end(CalledOff)
-	case x.Stage < Awaiting:
+	case x.Stage < Awaiting && (x.Stage != Writing || x.strays == 0):
 		return x.end(NeverWritten)
 	case h == Silence:
 		return x.end(TooLate)
@@ -117,6 +121,10 @@
 	return !x.spoilt && (x.Stage == Resting || x.Stage == Over && x.Fate == Whole)
 }
 
+// Doubtful tells whether other answers came before the request's own: a word of that that it has not run is not to be believed, as one of
+// the others may have been what it was given.
+func (x Exchange) Doubtful() bool { return x.strays > 0 }
+
 // Belongs tells whether an answer that names the requests got is the answer to the request want, which may have no name. One that names
 // none can be anybody's: only a peer that is a program of our own, and answers each request in its turn, may leave the name out.
 func Belongs(want string, got []string, own bool) bool {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -13,29 +13,33 @@
 		over bool
 		on   bool // the connection carries another request
 	}{
-		"nothing":                      {nil, NeverWritten, false, true},
-		"called off at rest":           {[]Event{Abandoned}, NeverWritten, false, true},
-		"surplus at rest":              {[]Event{Surplus}, NeverWritten, false, false},
-		"closed at rest":               {[]Event{Closes}, NeverWritten, false, false},
-		"half written":                 {[]Event{Begins, Breaks}, NeverWritten, true, false},
-		"half written, time over":      {[]Event{Begins, Silence}, NeverWritten, true, false},
-		"half written, called off":     {[]Event{Begins, Abandoned}, CalledOff, true, false},
-		"asked, never invited":         {[]Event{Begins, Asks, Silence}, NeverWritten, true, false},
-		"asked, cut":                   {[]Event{Begins, Asks, Breaks}, NeverWritten, true, false},
-		"asked, answered at once":      {[]Event{Begins, Asks, Owns, Finishes}, Whole, true, true},
-		"asked, invited, served":       {[]Event{Begins, Asks, Invited, Written, Owns, Finishes}, Whole, true, true},
-		"asked, invited, cut":          {[]Event{Begins, Asks, Invited, Breaks}, NeverWritten, true, false},
-		"written, cut":                 {[]Event{Begins, Written, Breaks}, Broken, true, false},
-		"written, silent":              {[]Event{Begins, Written, Silence}, TooLate, true, false},
-		"written, called off":          {[]Event{Begins, Written, Abandoned}, CalledOff, true, false},
-		"served":                       {[]Event{Begins, Written, Owns, Finishes}, Whole, true, true},
-		"served, then closed":          {[]Event{Begins, Written, Owns, Closes, Finishes}, Whole, true, false},
-		"served, with more behind":     {[]Event{Begins, Written, Owns, Finishes, Surplus}, Whole, true, false},
-		"cut in the answer":            {[]Event{Begins, Written, Owns, Breaks}, Broken, true, false},
-		"silent in the answer":         {[]Event{Begins, Written, Owns, Silence}, TooLate, true, false},
-		"answered before it was whole": {[]Event{Begins, Owns, Finishes}, NeverWritten, true, false},
-		"what cannot be":               {[]Event{Begins, Written, Invited}, Broken, true, false},
-		"another's answers only":       {[]Event{Begins, Written, Stray, Stray, Stray, Stray}, Broken, true, false},
+		"nothing":                        {nil, NeverWritten, false, true},
+		"called off at rest":             {[]Event{Abandoned}, NeverWritten, false, true},
+		"surplus at rest":                {[]Event{Surplus}, NeverWritten, false, false},
+		"closed at rest":                 {[]Event{Closes}, NeverWritten, false, false},
+		"half written":                   {[]Event{Begins, Breaks}, NeverWritten, true, false},
+		"half written, time over":        {[]Event{Begins, Silence}, NeverWritten, true, false},
+		"half written, called off":       {[]Event{Begins, Abandoned}, CalledOff, true, false},
+		"asked, never invited":           {[]Event{Begins, Asks, Silence}, NeverWritten, true, false},
+		"asked, cut":                     {[]Event{Begins, Asks, Breaks}, NeverWritten, true, false},
+		"asked, answered at once":        {[]Event{Begins, Asks, Owns, Finishes}, Whole, true, true},
+		"asked, invited, served":         {[]Event{Begins, Asks, Invited, Written, Owns, Finishes}, Whole, true, true},
+		"asked, invited, cut":            {[]Event{Begins, Asks, Invited, Breaks}, NeverWritten, true, false},
+		"written, cut":                   {[]Event{Begins, Written, Breaks}, Broken, true, false},
+		"written, silent":                {[]Event{Begins, Written, Silence}, TooLate, true, false},
+		"written, called off":            {[]Event{Begins, Written, Abandoned}, CalledOff, true, false},
+		"served":                         {[]Event{Begins, Written, Owns, Finishes}, Whole, true, true},
+		"served, then closed":            {[]Event{Begins, Written, Owns, Closes, Finishes}, Whole, true, false},
+		"served, with more behind":       {[]Event{Begins, Written, Owns, Finishes, Surplus}, Whole, true, false},
+		"cut in the answer":              {[]Event{Begins, Written, Owns, Breaks}, Broken, true, false},
+		"silent in the answer":           {[]Event{Begins, Written, Owns, Silence}, TooLate, true, false},
+		"answered before it was whole":   {[]Event{Begins, Owns, Finishes}, Whole, true, false},
+		"answered so, and cut":           {[]Event{Begins, Owns, Breaks}, Broken, true, false},
+		"answered so, by no answer":      {[]Event{Begins, Mumbles}, Broken, true, false},
+		"another's answer, half written": {[]Event{Begins, Stray, Breaks}, Broken, true, false},
+		"another's answer, asked":        {[]Event{Begins, Asks, Stray, Invited, Written, Owns, Finishes}, Whole, true, true},
+		"what cannot be":                 {[]Event{Begins, Written, Invited}, Broken, true, false},
+		"another's answers only":         {[]Event{Begins, Written, Stray, Stray, Stray, Stray}, Broken, true, false},
 	} {
 		var x Exchange
 		for _, h := range c.met {
@@ -66,6 +70,9 @@
 			if out && x.Stage == Over && x.Fate == NeverWritten {
 				t.Fatalf("%+v was written, and is %+v after %d", before, x, h)
 			}
+			if h == Stray && before.Stage >= Writing && before.Stage <= Awaiting && !x.Doubtful() {
+				t.Fatalf("%+v is believed after another's answer", x)
+			}
 			if !sound && x.Reusable() {
 				t.Fatalf("%+v is reused after %d", x, h)
 			}
--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -511,12 +511,12 @@
 		return sidecar.Word{Outcome: whinknot.Timeout}
 	case word != wordAnswer || r == nil || !exchange.Belongs(t.e.Header.Get(idHeader), r.Header[idHeader], false):
 		return sidecar.Word{Outcome: whinknot.Reset}
-	case r.Header.Get(notRunHeader) != "" || r.Status == http.StatusMisdirectedRequest:
+	case notRun(r):
 		if r.Status == http.StatusMisdirectedRequest {
 			t.f.p.loop.Post(func() { t.f.p.shun(life) })
 		}
 		return sidecar.Word{Outcome: whinknot.Full}
-	case r.Status < 300 && (r.Header.Get(sealHeader) == "" || r.Header.Get("Content-Encoding") != ""):
+	case r.Status < 300 && (r.Header.Get(sealHeader) == "" || r.Header.Get("Content-Encoding") != "" || r.Header.Get(notRunHeader) != ""):
 		return sidecar.Word{Outcome: whinknot.Reset}
 	case r.Status < 300:
 		return sidecar.Word{Outcome: whinknot.OK, Reply: r}
--- a/internal/pilot/quay.go
+++ b/internal/pilot/quay.go
@@ -464,6 +464,11 @@
 	head     func(*bytes.Buffer)
 }
 
+// notRun tells whether an endpoint's answer says that the request has not run and will not. A success cannot say so.
+func notRun(r *sidecar.Reply) bool {
+	return r.Status >= http.StatusBadRequest && r.Header.Get(notRunHeader) != "" || r.Status == http.StatusMisdirectedRequest
+}
+
 // inside is what a call that was let in tells of the endpoint.
 func inside(fate exchange.Fate, r *sidecar.Reply) (k muster.Kind, tells bool) {
 	switch {
@@ -528,6 +533,9 @@
 			return b.Bytes()
 		},
 	}, p.until)
+	if fate == exchange.Whole && r.Doubtful && notRun(r) {
+		fate, r = exchange.Broken, nil
+	}
 	q.mu.Lock()
 	q.gate.Leaves(t)
 	if fate == exchange.NeverWritten {
--- a/internal/sidecar/liar_test.go
+++ b/internal/sidecar/liar_test.go
@@ -28,7 +28,7 @@
 		switch {
 		case fate == exchange.NeverWritten:
 			continue
-		case fate != exchange.Whole:
+		case fate != exchange.Whole || r.Doubtful && (r.Header.Get("X-Not-Executed") != "" || r.Status == http.StatusMisdirectedRequest):
 			facts.Told(id, rules.Given{Status: http.StatusBadGateway})
 			return false
 		case r.Status >= 400 && r.Header.Get("X-Not-Executed") != "" || r.Status == http.StatusMisdirectedRequest:
@@ -76,6 +76,12 @@
 		"a refusal once more, in the place of the next answer": {
 			[]standin.Trick{with(func(t *standin.Trick) { t.Refuses, t.Extra, t.When = true, standin.Again, standin.Before }), plain}, []int{0}, []bool{true},
 		},
+		"answered under another's id, then refused": {
+			[]standin.Trick{with(func(t *standin.Trick) { t.ID, t.Extra = 1, standin.Refusal }), plain}, []int{0}, []bool{false},
+		},
+		"an answer before the request was sent whole, and the end": {
+			[]standin.Trick{with(func(t *standin.Trick) { t.Early, t.Closes, t.Status = true, true, 500 }), plain}, []int{1 << 24}, []bool{true},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			facts := &rules.Answers{}
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -1,12 +1,13 @@
 package sidecar
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -112,53 +113,115 @@
 	}
 	c.meets(exchange.Begins)
 	c.carries(h.id)
-	next := readAnswerHead
-	if h.asks > 0 {
-		no, err := askFirst(c, text.Bytes(), h.asks, until)
-		if err != nil {
+	if h.asks == 0 {
+		if err := writeBoth(c, &text, h.body); err == nil {
+			u.whole(c)
+		} else if !mayHaveAnswered(a, err) {
 			c.fails(a, err)
 			return nil
 		}
-		if no != nil {
-			next = no
-		} else if _, err := c.Write(h.body); err != nil {
+	} else {
+		if _, err := c.Write(text.Bytes()); err != nil {
 			c.fails(a, err)
 			return nil
-		} else {
-			c.meets(exchange.Written)
 		}
-	} else if err := writeBoth(c, &text, h.body); err != nil {
+		c.meets(exchange.Asks)
+		if by := time.Now().Add(h.asks); by.Before(until) {
+			c.readBy(a, by)
+		}
+	}
+	got, err := u.hear(a, c, h, until)
+	if err != nil {
 		c.fails(a, err)
 		return nil
-	} else {
-		c.meets(exchange.Written)
 	}
+	return got
+}
+
+// readBy bounds what is read from now on, unless the attempt was called off.
+func (c *conn) readBy(a *attempt, by time.Time) {
+	if c.SetReadDeadline(by); a.ctx.Err() != nil {
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// whole notes that all of a request has left.
+func (u *upstream) whole(c *conn) {
+	c.meets(exchange.Written)
 	u.written.Add(1)
-	for c.x.Stage != exchange.Over {
-		status, m, err := next(c.reader)
-		next = readAnswerHead
-		var body []byte
-		if err == nil && !bodiless(status) {
-			if m.length == untold {
-				err = errLength
-			} else {
-				body, err = readWhole(c.reader, m.length, h.most)
-			}
-		}
-		if err != nil {
-			c.fails(a, err)
-			return nil
+}
+
+// mayHaveAnswered tells whether a peer that takes no more of a request may have answered it before: its answer is still to be read then.
+func mayHaveAnswered(a *attempt, err error) bool {
+	return a.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// hear reads up to the request's own final answer, and writes its body on the way if it waits for the word that it is taken. There is
+// no answer where the exchange is over before.
+func (u *upstream) hear(a *attempt, c *conn, h *hop, until time.Time) (*Reply, error) {
+	for interims := 0; c.x.Stage != exchange.Over; {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, err
 		}
-		if !exchange.Belongs(h.id, m.header["X-Attempt-Id"], h.own) {
-			c.meets(exchange.Stray)
+		writing := c.x.Stage == exchange.Writing
+		r, err := u.hearOne(a, c, h, until)
+		switch {
+		case err != nil && writing:
+			c.meets(exchange.Mumbles)
+			return nil, err
+		case err != nil || r != nil && r.Status >= http.StatusOK:
+			return r, err
+		case r == nil:
 			continue
 		}
+		if interims++; interims > maxInterim {
+			return nil, errTooLong
+		}
+		if r.Status == http.StatusContinue && c.x.Stage == exchange.Asking {
+			c.readBy(a, until)
+			c.meets(exchange.Invited)
+			if _, err := c.Write(h.body); err != nil {
+				return nil, err
+			}
+			u.whole(c)
+		}
+	}
+	return nil, nil
+}
+
+// hearOne reads one answer, interim or final; none if it is another request's.
+func (u *upstream) hearOne(a *attempt, c *conn, h *hop, until time.Time) (*Reply, error) {
+	m, err := readMessage(c.reader)
+	if err != nil {
+		return nil, err
+	}
+	status, err := m.status()
+	if err != nil || status < http.StatusOK {
+		return &Reply{Status: status}, err
+	}
+	own := exchange.Belongs(h.id, m.header["X-Attempt-Id"], h.own)
+	if c.x.Stage == exchange.Asking {
+		c.readBy(a, until)
+	}
+	if own {
 		c.meets(exchange.Owns)
-		c.ends(&m)
-		u.told(m.header)
-		return &Reply{Status: status, Header: endToEnd(m.header), Body: body}
 	}
-	return nil
+	var body []byte
+	if !bodiless(status) {
+		if m.length == untold {
+			return nil, errLength
+		}
+		if body, err = readWhole(c.reader, m.length, h.most); err != nil {
+			return nil, err
+		}
+	}
+	if !own {
+		c.meets(exchange.Stray)
+		return nil, nil
+	}
+	c.ends(&m)
+	u.told(m.header)
+	return &Reply{Status: status, Header: endToEnd(m.header), Body: body, Doubtful: c.x.Doubtful()}, nil
 }
 
 // writeBoth writes a head and a body, together where that is cheap.
@@ -174,34 +237,6 @@
 	return err
 }
 
-// askFirst writes a head and waits for the word that the body is taken. If the answer comes instead, no gives its head.
-// What does not come within a time has not been asked for.
-func askFirst(c *conn, head []byte, within time.Duration, until time.Time) (no func(*bufio.Reader) (int, message, error), err error) {
-	if _, err := c.Write(head); err != nil {
-		return nil, err
-	}
-	c.meets(exchange.Asks)
-	if by := time.Now().Add(within); by.Before(until) {
-		c.SetReadDeadline(by)
-		defer c.SetReadDeadline(until)
-	}
-	m, err := readMessage(c.reader)
-	if err != nil {
-		return nil, err
-	}
-	status, err := m.status()
-	switch {
-	case err != nil:
-		return nil, err
-	case status == http.StatusContinue:
-		c.meets(exchange.Invited)
-		return nil, nil
-	case status < http.StatusOK:
-		return nil, errHead
-	}
-	return func(*bufio.Reader) (int, message, error) { return status, m, nil }, nil
-}
-
 // Hop is one exchange with a peer: the lines of its head, with what is left of the time, and its body.
 type Hop struct {
 	Head func(left time.Duration) []byte // without a length and the empty line
--- a/internal/sidecar/port.go
+++ b/internal/sidecar/port.go
@@ -67,6 +67,8 @@
 	Header     http.Header
 	Body       []byte
 	RetryAfter time.Duration // 0 for none
+	// Doubtful says of a server's answer that others came before it: its word that nothing has run is not to be believed.
+	Doubtful bool
 	// Unread says of an answer that Open gives to one that asked first that no body follows: its connection goes on.
 	Unread bool
 }
--- a/internal/standin/liar.go
+++ b/internal/standin/liar.go
@@ -199,8 +199,8 @@
 	if l.Trick != nil && q.URL.Path != "/health" {
 		t = l.Trick(n)
 	}
-	if *said { // it would be read as the end of this answer's body
-		t.Longer = 0
+	if *said { // with what this one leaves out or spoils it could make an answer in the protocol, and nobody could tell
+		t.Longer, t.At, t.Spoilt = 0, -1, false
 	}
 	*said = *said || t.Extra != Nothing
 	if t.Spare {
