Play endpoints that lie and clients that break off against both pilots; count attempts safely

Need: the hop to an endpoint was played, not the way from a client through both pilots and the gate.

It found one fault: a request is answered at its time while its last attempt is still out, and the note of that read counters which the attempt writes (a data race; what was noted could be wrong). They are atomic now.

--- a/internal/pilot/fairway.go
+++ b/internal/pilot/fairway.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"whinknot"
@@ -347,7 +348,7 @@
 		f.p.note(id, "event=left")
 		return sidecar.Reply{Status: http.StatusBadGateway}
 	}
-	f.p.note(id, "event=answered status="+strconv.Itoa(reply.Status)+" attempts="+strconv.Itoa(t.sent)+" arrived="+strconv.Itoa(t.arrived))
+	f.p.note(id, "event=answered status="+strconv.Itoa(reply.Status)+" attempts="+strconv.Itoa(int(t.sent.Load()))+" arrived="+strconv.Itoa(int(t.arrived.Load())))
 	if reply.Header == nil {
 		reply.Header = http.Header{}
 	}
@@ -387,9 +388,9 @@
 	e        *sidecar.Errand
 	r        *chart.Route
 	patience time.Duration
-	sent     int // attempts
-	near     int // attempts in the own zone
-	arrived  int // attempts that reached an endpoint
+	sent     atomic.Int32 // attempts
+	near     int          // attempts in the own zone
+	arrived  atomic.Int32 // attempts that reached an endpoint; one may still be out when the request has its answer
 }
 
 // head is the head of the request as it goes to an endpoint, but for the time left.
@@ -403,7 +404,7 @@
 // cross carries one attempt to the pilot beside an endpoint. Attempts of one request follow each other.
 func (t *trip) cross(x *sidecar.Crossing) sidecar.Word {
 	f := t.f
-	t.sent++
+	t.sent.Add(1)
 	f.mu.Lock()
 	at, known := f.lives[x.Server]
 	patience := t.patience
@@ -413,8 +414,9 @@
 		}
 	}
 	stays := time.Now().Before(f.warmAt)
-	may := t.arrived == 0
-	if known && t.arrived > 0 && t.arrived < t.r.Tries {
+	arrived := int(t.arrived.Load())
+	may := arrived == 0
+	if known && arrived > 0 && arrived < t.r.Tries {
 		may = f.ration.Repeat(time.Now(), f.p.s.Bounds.RetrySlack/float64(f.pilots))
 	}
 	f.mu.Unlock()
@@ -505,7 +507,7 @@
 	if word == wordNever {
 		return sidecar.Word{Outcome: whinknot.ConnectFailed}
 	}
-	t.arrived++
+	t.arrived.Add(1)
 	switch {
 	case word == wordLate:
 		return sidecar.Word{Outcome: whinknot.Timeout}
--- a/internal/pilot/path_test.go
+++ b/internal/pilot/path_test.go
@@ -19,6 +19,7 @@
 	"whinknot/internal/berth"
 	"whinknot/internal/keeper"
 	"whinknot/internal/lighthouse"
+	"whinknot/internal/standin"
 	"whinknot/internal/tide"
 )
 
@@ -35,6 +36,7 @@
 	done   sync.WaitGroup
 	// stopCore ends the core machine's programs.
 	stopCore func()
+	liar     func(name string) *standin.Liar // makes the endpoints of the service "one"; nil for usual ones
 }
 
 const coreIP = "127.0.8.100"
@@ -88,6 +90,7 @@
 	pilot  *Pilot
 	stop   func()
 	server *httptest.Server
+	liar   *standin.Liar
 	seq    int
 
 	mu   sync.Mutex
@@ -115,6 +118,13 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	if m.liar != nil && target == "one" {
+		e.liar = m.liar(name)
+		e.liar.Target = e.id
+		e.liar.Serve(ln)
+		m.t.Cleanup(func() { stop(); e.liar.Close() })
+		return e
+	}
 	e.server = &httptest.Server{Listener: ln, Config: &http.Server{Handler: http.HandlerFunc(e.serve)}}
 	e.server.Start()
 	m.t.Cleanup(func() { stop(); e.server.CloseClientConnections(); e.server.Close() })
