End the look for a caller's leaving before its answer goes out; no readiness word on a port

Cause 1: once an answer was there the read that looks for the caller's leaving was ended by a deadline in the past, set after the answer had been handed over: it could fall into the read of the next request, which was then taken for a caller that left, its call ended and its connection closed without an answer. Cause 2: every front answered GET /-/ready by itself, without reading its body: what stood in that was taken for the next request (one hidden in another), and at a pilot's outbound address a client got a 200 without a seal for a path that may be a route's.

Change: the deadline is set before the answer is handed over, and a read that ends by it waits for the answer. Only fronts that are asked for it say whether they are ready, and only to a request without a body.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +37,7 @@
 	classes  map[string]uint16
 	tenants  map[string]uint16
 	intake   func(*caller, *message) taken
-	usable   func() bool // there is something to send requests to
+	usable   func() bool // there is something to send requests to; nil where nobody asks for that here
 	callers  *callers
 	conns    sync.WaitGroup
 	draining atomic.Bool   // not ready any more
@@ -94,7 +96,7 @@
 		if m.length == untold { // of a request: none
 			m.length = 0
 		}
-		if m.first == "GET /-/ready HTTP/1.1" {
+		if f.usable != nil && m.first == "GET /-/ready HTTP/1.1" && m.length == 0 {
 			if c.answer(&answer{status: f.ready()}, !lasts) != nil {
 				return
 			}
@@ -182,8 +184,8 @@
 	k, loop := t.call, t.loop
 	answered := make(chan answer, 1)
 	k.reply = func(a answer) {
+		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek; before the answer goes out, or it would end what is read behind it
 		answered <- a
-		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek
 	}
 	if up := k.out.upload; up != nil {
 		k.reply = func(a answer) {
@@ -204,7 +206,7 @@
 	if a, ok := lastWord(answered); ok {
 		return a, true
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		loop.post(func() { loop.gone(k) })
 		return answer{}, false
 	}
--- a/internal/sidecar/port.go
+++ b/internal/sidecar/port.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 )
@@ -29,12 +31,13 @@
 	c.SetReadDeadline(time.Time{})
 	f.callers.begins(c)
 	f.conns.Go(func() {
-		answered <- t.serve(ctx, body)
-		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek
+		a := t.serve(ctx, body)
+		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek; before the answer goes out, or it would end what is read behind it
+		answered <- a
 	})
 	_, err = c.reader.Peek(1) // its caller leaves, or sends a next request already
 	a, ok := lastWord(answered)
-	if !ok && err != nil {
+	if !ok && err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		leave()
 		<-answered
 		f.callers.ends(c)
@@ -101,7 +104,7 @@
 		return nil, err
 	}
 	p := &Port{listener: ln, served: make(chan struct{})}
-	p.front = &front{quiet: limits.Quiet, head: limits.Head, callers: newCallers(limits.Connections), usable: func() bool { return true }}
+	p.front = &front{quiet: limits.Quiet, head: limits.Head, callers: newCallers(limits.Connections)}
 	p.front.callers.all = map[*caller]bool{}
 	p.front.intake = func(c *caller, m *message) taken { return errand(desk, c, m) }
 	go func() {
