--- a/internal/tide/lease.go
+++ b/internal/tide/lease.go
@@ -142,10 +142,14 @@
 	}
 }
 
-// unstick decides anew what stays undecided: its proposer is gone, perhaps.
+// unstick decides anew what stays undecided: its proposer is gone, perhaps. Disks take turns; short ones where this one has promised to
+// accept nothing below a ballot that it has accepted nothing at: the others may know all and see no need.
 func (r *Replica) unstick(now time.Time) {
-	turn := stuckFor + time.Duration(r.place())*stuckTurn
 	for _, key := range slices.Sorted(maps.Keys(r.stuck)) {
+		turn := stuckFor + time.Duration(r.place())*stuckTurn
+		if x := r.acceptor.Get(key); x.Promised != x.Accepted {
+			turn = stuckFor + time.Duration(r.place())*stuckTurn/8
+		}
 		if now.Sub(r.stuck[key]) < turn {
 			continue
 		}
--- a/internal/tide/replica.go
+++ b/internal/tide/replica.go
@@ -473,8 +473,10 @@
 	}
 }
 
-// apply has the orders of a round change what may be chosen already, and the result accepted. Orders that came meanwhile join.
+// apply has the orders of a round change what may be chosen already, and the result accepted. Orders that came meanwhile join, unless
+// nothing is to be accepted: the promises were made before they came, and say nothing of what was chosen since.
 func (r *Replica) apply(now time.Time, o *round) {
+	asked := len(o.orders)
 	o.orders = append(o.orders, r.waiting[o.key]...)
 	delete(r.waiting, o.key)
 	var held *Value
@@ -501,6 +503,7 @@
 		if r.set.Joint() {
 			r.sealed[o.key] = true
 		}
+		r.waiting[o.key], o.orders = slices.Clone(o.orders[asked:]), o.orders[:asked]
 		r.end(now, o)
 		return
 	}
@@ -613,12 +616,7 @@
 	for _, key := range slices.Sorted(maps.Keys(r.waiting)) {
 		r.waiting[key] = r.late(now, r.waiting[key])
 	}
-	slow := min(lookSlow, r.settings.Lease/slowPart)
-	every := slow
-	if r.set.Holder == r.me.Disk || r.Lease(now) < slow {
-		every = r.often()
-	}
-	if now.Sub(r.looked) >= every {
+	if now.Sub(r.looked) >= r.lookEvery(now) {
 		r.beginLook(now)
 	}
 	r.unstick(now)
@@ -636,6 +634,15 @@
 	})
 }
 
+// lookEvery is the time between two looks.
+func (r *Replica) lookEvery(now time.Time) time.Duration {
+	slow := min(lookSlow, r.settings.Lease/slowPart)
+	if r.set.Holder == r.me.Disk || r.Lease(now) < slow {
+		return r.often()
+	}
+	return slow
+}
+
 // often is the time between two looks where much depends on them.
 func (r *Replica) often() time.Duration { return min(lookOften, r.settings.Lease/oftenPart) }
 
