Measure what each role carries, with hollow pilots beside real processes, by one command

`go run ./internal/measure capacity` builds the three programs, runs lighthouses, keepers and a real pilot as processes on loopback addresses of their own, and many hollow pilots in its own process: each says the words of a real one over three connections, some hold a real chart room. Parts: pure (chart room, registry, placement, decision module at 30 to 21,000), config (20, 200, 720 services), fleet (100 to 3,000 hollow pilots), hop (what two pilots add to a call).

Failed try: names of quantities that two parts shared put a whole picture's bytes beside a change's; each part names its own now.

--- /dev/null
+++ b/internal/measure/capacity/capacity.go
@@ -0,0 +1,158 @@
+// Package capacity measures what each role of the mesh carries, at sizes up to what one machine bears, and how that grows: real
+// lighthouses, keepers and pilots as processes of their own, hollow pilots in this one, and the pure parts alone.
+// docs/CAPACITY.md has the figures and what follows from them.
+package capacity
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+)
+
+var space = errorx.NewNamespace("capacity")
+
+// Failed is the type of errors of a measurement that could not be made.
+var Failed = space.NewType("failed")
+
+// mostPilots bounds a fleet of hollow pilots: their connections take descriptors here, one each.
+const mostPilots = 10_000
+
+// Run measures what the arguments say, and prints it.
+func Run(args []string, out io.Writer) error {
+	flags := flag.NewFlagSet("capacity", flag.ContinueOnError)
+	parts := flags.String("parts", "pure,config,fleet,hop", "what is measured")
+	sizes := flags.String("sizes", "100,300,1000,3000", "hollow pilots")
+	services := flags.String("services", "20,200,720", "services of a configuration that is pushed")
+	loads := flags.String("loads", "20,100,300,1000", "requests a second over two pilots")
+	runs := flags.Int("runs", 3, "of each")
+	machines := flags.Int("machines", 3, "control machines")
+	dir := flags.String("programs", "", "folder of built programs; built anew without one")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	var lists [3][]int
+	for i, text := range []string{*sizes, *services, *loads} {
+		for one := range strings.SplitSeq(text, ",") {
+			n, err := strconv.Atoi(one)
+			if err != nil || n < 1 || n > mostPilots {
+				return Failed.New("%q is no number from 1 to %d", one, mostPilots)
+			}
+			lists[i] = append(lists[i], n)
+		}
+	}
+	if *runs < 1 || *runs > 100 || *machines < 1 || *machines > 19 {
+		return Failed.New("runs are from 1 to 100, machines from 1 to 19")
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	built := *dir
+	if built == "" {
+		var err error
+		if built, err = os.MkdirTemp("", "capacity-programs"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(built)
+	}
+	programs, err := Built(ctx, built)
+	if err != nil {
+		return err
+	}
+	for part := range strings.SplitSeq(*parts, ",") {
+		t := newTable()
+		measure, ok := map[string]func() error{
+			"pure":   func() error { return pure(t, *runs) },
+			"config": func() error { return configurations(ctx, t, programs, *machines, lists[1], *runs) },
+			"fleet":  func() error { return fleets(ctx, t, programs, *machines, lists[0], lists[1], *runs, out) },
+			"hop":    func() error { return hops(ctx, t, programs, lists[2], *runs) },
+		}[part]
+		if !ok {
+			return Failed.New("%q is none of pure, config, fleet and hop", part)
+		}
+		failed := measure()
+		t.print(out, part) // also what was measured before it failed
+		if failed != nil {
+			return fmt.Errorf("%s: %w", part, failed)
+		}
+	}
+	return nil
+}
+
+// table is figures by quantity and size, each measured some times.
+type table struct {
+	names  []string // in the order in which they came
+	values map[string]map[int][]float64
+}
+
+func newTable() *table { return &table{values: map[string]map[int][]float64{}} }
+
+// add notes one value of a quantity, whose name tells its unit, at a size.
+func (t *table) add(name string, size int, value float64) {
+	if t.values[name] == nil {
+		t.names = append(t.names, name)
+		t.values[name] = map[int][]float64{}
+	}
+	t.values[name][size] = append(t.values[name][size], value)
+}
+
+// print writes all as a table: of each size the median, with the least and the most if it was measured more than once.
+func (t *table) print(w io.Writer, part string) {
+	var sizes []int
+	for _, of := range t.values {
+		for size := range of {
+			if !slices.Contains(sizes, size) {
+				sizes = append(sizes, size)
+			}
+		}
+	}
+	slices.Sort(sizes)
+	fmt.Fprintf(w, "\n| %s |", part)
+	for _, size := range sizes {
+		fmt.Fprintf(w, " %d |", size)
+	}
+	fmt.Fprintf(w, "\n| --- |%s\n", strings.Repeat(" --- |", len(sizes)))
+	for _, name := range t.names {
+		fmt.Fprintf(w, "| %s |", name)
+		for _, size := range sizes {
+			fmt.Fprintf(w, " %s |", spread(t.values[name][size]))
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// spread is a median, and the least and the most.
+func spread(v []float64) string {
+	switch len(v) {
+	case 0:
+		return ""
+	case 1:
+		return figure(v[0])
+	}
+	s := slices.Sorted(slices.Values(v))
+	return fmt.Sprintf("%s (%s–%s)", figure(s[len(s)/2]), figure(s[0]), figure(s[len(s)-1]))
+}
+
+// figure is a number to three places, without an exponent.
+func figure(v float64) string {
+	if v >= 100 || v <= -100 {
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	n, _ := strconv.ParseFloat(strconv.FormatFloat(v, 'g', 3, 64), 64)
+	return strconv.FormatFloat(n, 'f', -1, 64)
+}
+
+// quantile is one of values that are sorted.
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -14,6 +14,7 @@
 //	go run ./internal/measure emulate
 //	go run ./internal/measure emulate-size -large
 //	go run ./internal/measure starts -program NEW -count 10000
+//	go run ./internal/measure capacity -sizes 100,300,1000,3000 -runs 3
 package main
 
 import (
@@ -38,6 +39,7 @@
 	"sync"
 	"time"
 
+	"whinknot/internal/measure/capacity"
 	"whinknot/internal/rig"
 	"whinknot/internal/standin"
 )
@@ -54,7 +56,7 @@
 
 func run(args []string) error {
 	if len(args) == 0 {
-		return errors.New("needs a subcommand: platform, operator, grpc, import, tiers, levels, margins, state, emulate, emulate-size or starts")
+		return errors.New("needs a subcommand: platform, operator, grpc, import, tiers, levels, margins, state, emulate, emulate-size, starts or capacity")
 	}
 	switch args[0] {
 	case "levels":
@@ -65,6 +67,8 @@
 		return kept(args[1:], os.Stdout)
 	case "emulate":
 		return emulated(args[1:], os.Stdout)
+	case "capacity":
+		return capacity.Run(args[1:], os.Stdout)
 	case "starts":
 		return starts(args[1:], os.Stdout)
 	case "emulate-size":
