--- a/internal/measure/capacity/fleet.go
+++ b/internal/measure/capacity/fleet.go
@@ -16,7 +16,7 @@
 	roomsWork  = 30_000_000 // rooms by the square of the pilots: each of so many changes at a start costs a room its whole picture
 	roomsLeast = 3
 	wave       = 500 // pilots that start at once; all of them at once are measured as they come back
-	changes    = 5 // of one endpoint, in a run
+	changes    = 5   // of one endpoint, in a run
 	spreadTime = time.Minute
 
 	servicesTime = 4 * time.Second
--- a/internal/measure/capacity/hollow.go
+++ b/internal/measure/capacity/hollow.go
@@ -127,7 +127,7 @@
 		if err := within(ctx, spreadTime, "first pictures and the configuration", func() bool {
 			return f.wholes.Load() >= int64(to) && f.agree(to, f.core.version)
 		}); err != nil {
-			return err
+			return Failed.Wrap(err, "%d pilots: %d whole pictures, %d connections, %d bytes so far", to, f.wholes.Load(), f.dials.Load(), f.read.Load())
 		}
 	}
 	return nil
