Decide anew soon where a promise keeps a disk from what the others know

Cause: a disk that had promised a ballot whose value it never got can't take an older chosen value by relay.

--- a/internal/tide/lease.go
+++ b/internal/tide/lease.go
@@ -139,13 +139,13 @@
 	}
 }
 
-// unstick decides anew what stays undecided: its proposer is gone, perhaps. Disks take turns; but where this one has itself promised to
-// accept nothing of what the others know, for a ballot of its own, nobody else sees a need.
+// unstick decides anew what stays undecided: its proposer is gone, perhaps. Disks take turns; short ones where this one has promised to
+// accept nothing below a ballot that it has accepted nothing at: the others may know all and see no need.
 func (r *Replica) unstick(now time.Time) {
 	for _, key := range slices.Sorted(maps.Keys(r.stuck)) {
-		turn := stuckFor
-		if r.acceptor.Get(key).Promised.Disk != r.me.Disk {
-			turn += time.Duration(r.place()) * stuckTurn
+		turn := stuckFor + time.Duration(r.place())*stuckTurn
+		if x := r.acceptor.Get(key); x.Promised != x.Accepted {
+			turn = stuckFor + time.Duration(r.place())*stuckTurn/8
 		}
 		if now.Sub(r.stuck[key]) < turn {
 			continue
