Go on with a joint set at every tick, and look at once after a change of the set

Change: the duty's step comes before the replica's; the holder of a joint set wants a tick each 50 ms; a new set is looked at in the next tick, which Due tells.

--- a/internal/helm/helm.go
+++ b/internal/helm/helm.go
@@ -59,9 +59,15 @@
 // turn is the one function that changes the state.
 func (m *Machine) turn(now time.Time, to State) { m.state, m.since = to, now }
 
-// Tick does what is due, the replica's work included.
+// Tick does what is due, the replica's work included: after the duty's, as the replica may begin another look, and what the last one
+// told is gone then.
 func (m *Machine) Tick(now time.Time) tide.Out {
-	out := m.replica.Tick(now)
+	out := m.tick(now)
+	out.Join(m.replica.Tick(now))
+	return out
+}
+
+func (m *Machine) tick(now time.Time) (out tide.Out) {
 	set, me := m.replica.Set(), m.replica.Me().Disk
 	if set.Epoch != m.epoch {
 		m.epoch = set.Epoch
--- a/internal/tide/replica.go
+++ b/internal/tide/replica.go
@@ -20,6 +20,7 @@
 	backOff   = 12 * time.Millisecond  // at first, before a ballot that was beaten is followed by a higher one
 	mostBack  = 400 * time.Millisecond
 	lookOften = 300 * time.Millisecond // between two looks of the duty's holder, and of one that has no lease
+	sealOften = 50 * time.Millisecond  // between two steps of the duty's holder on the way to another set
 	lookSlow  = 900 * time.Millisecond // of any other
 	aliveFor  = 2 * time.Second        // after its last word another counts as there
 	stuckFor  = 700 * time.Millisecond // after which what nobody finishes is finished here, if this disk's turn has come
@@ -567,7 +568,7 @@
 	}
 	r.set = *s
 	r.out.Set, r.out.News = s, true
-	r.look, r.lease = nil, time.Time{}
+	r.look, r.looked, r.lease = nil, time.Time{}, time.Time{}
 	clear(r.sealed)
 	for _, m := range r.set.All() {
 		r.Meet(m.Addr)
@@ -600,17 +601,21 @@
 	for _, key := range slices.Sorted(maps.Keys(r.waiting)) {
 		r.waiting[key] = r.late(now, r.waiting[key])
 	}
-	every := lookSlow
-	if r.set.Holder == r.me.Disk || r.Lease(now) < lookSlow {
-		every = lookOften
-	}
-	if now.Sub(r.looked) >= every {
+	if now.Sub(r.looked) >= r.lookEvery(now) {
 		r.begLook(now)
 	}
 	r.unstick(now)
 	return r.take()
 }
 
+// lookEvery is between two looks.
+func (r *Replica) lookEvery(now time.Time) time.Duration {
+	if r.set.Holder == r.me.Disk || r.Lease(now) < lookSlow {
+		return lookOften
+	}
+	return lookSlow
+}
+
 // late gives those orders whose time is not over; what became of the others is unclear.
 func (r *Replica) late(now time.Time, orders []order) []order {
 	return slices.DeleteFunc(orders, func(x order) bool {
@@ -624,7 +629,10 @@
 
 // Due is when a tick is wanted next.
 func (r *Replica) Due(now time.Time) time.Time {
-	due := now.Add(lookOften)
+	due := r.looked.Add(r.lookEvery(now))
+	if hurry := now.Add(sealOften); r.set.Joint() && r.set.Holder == r.me.Disk && hurry.Before(due) {
+		due = hurry
+	}
 	for _, o := range r.orders {
 		at := o.sent.Add(resend)
 		if o.phase == resting {
