Pause longer after a ballot that was beaten; read what is known to be chosen without a ballot

Change: pauses of 20 to 800 ms where they were 12 to 400; a reading for which a quorum tells nothing above what is known to be chosen is answered by that.

--- a/internal/explore/plant_test.go
+++ b/internal/explore/plant_test.go
@@ -86,11 +86,11 @@
 		return held
 	}}},
 	{"what was accepted is not kept", 4, hooks{keep: keepOnly(func(_ string, r *tide.Register) bool { return r.Accepted != r.Promised })}},
-	{"a proposer keeps nothing, so that a ballot is used twice", 13, hooks{keep: keepOnly(func(me string, r *tide.Register) bool {
+	{"a proposer keeps nothing, so that a ballot is used twice", 18, hooks{keep: keepOnly(func(me string, r *tide.Register) bool {
 		return r.Promised.Disk != me
 	})}},
 	{"an emptied disk under its old name", 194, hooks{oldName: true}},
-	{"relays at the ballot promised, not accepted", 5, hooks{tell: func(_ *tide.Ask, t *tide.Tell) {
+	{"relays at the ballot promised, not accepted", 27, hooks{tell: func(_ *tide.Ask, t *tide.Tell) {
 		for i := range t.Register {
 			t.Register[i].Accepted = t.Register[i].Promised
 		}
--- a/internal/tide/replica.go
+++ b/internal/tide/replica.go
@@ -17,8 +17,8 @@
 
 const (
 	resend    = 250 * time.Millisecond // an ask without an answer is repeated
-	backOff   = 12 * time.Millisecond  // at first, before a ballot that was beaten is followed by a higher one
-	mostBack  = 400 * time.Millisecond
+	backOff   = 20 * time.Millisecond  // at first, before a ballot that was beaten is followed by a higher one
+	mostBack  = 800 * time.Millisecond
 	lookOften = 300 * time.Millisecond // at most, between two looks of the duty's holder, and of one that has no lease
 	lookSlow  = 900 * time.Millisecond // of any other
 	oftenPart = 6                      // of a lease that is short: the part of it between two looks, if that is less
@@ -448,8 +448,10 @@
 	}
 	switch o.phase {
 	case collecting:
-		// What a quorum has accepted at one ballot is chosen. Else it may be or not: it is decided anew.
-		if r.set.Reached(func(disk string) bool { h, ok := o.votes[disk]; return ok && h.Accepted == o.best.Accepted }) {
+		// What a quorum has accepted at one ballot is chosen, and this process may know it otherwise. Else it may be or not: it is
+		// decided anew.
+		if r.chosen[o.key].Accepted.Compare(o.best.Accepted) >= 0 ||
+			r.set.Reached(func(disk string) bool { h, ok := o.votes[disk]; return ok && h.Accepted == o.best.Accepted }) {
 			for i := range o.orders {
 				o.orders[i].end = Result{Outcome: Done}
 			}
