--- a/internal/explore/scratch_test.go
+++ b/internal/explore/scratch_test.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-var scratch = flag.Int("scratch", 0, "runs in which each fault planted on a scratch copy of the machines is to be found; 0: they are not planted")
+var scratch = flag.Int("scratch", 0, "runs in which each fault planted on a scratch copy of the machines is to be found; 0: only their places are looked for")
 
 // scratches are faults inside the machines, which can't be planted from outside. What was not found in 10,000 runs
 // stands in the note.
@@ -36,9 +36,6 @@
 
 // TestScratch plants faults on copies of the machines' files, which take their places in this one build: each is found.
 func TestScratch(t *testing.T) {
-	if *scratch == 0 {
-		t.Skip("-scratch tells in how many runs")
-	}
 	for _, x := range scratches {
 		t.Run(x.name, func(t *testing.T) {
 			file, err := filepath.Abs(filepath.Join("..", filepath.FromSlash(x.file)))
@@ -52,6 +49,9 @@
 			if strings.Count(string(text), x.old) != 1 {
 				t.Fatalf("%s has %d times what is to be altered", x.file, strings.Count(string(text), x.old))
 			}
+			if *scratch == 0 {
+				return // that each still has its place is all that is asked
+			}
 			dir := t.TempDir()
 			copied, over := filepath.Join(dir, "copy.go"), filepath.Join(dir, "overlay.json")
 			if err := os.WriteFile(copied, []byte(strings.Replace(string(text), x.old, x.new, 1)), 0o600); err != nil {
