Compare disks by one piece of code; name the shorter turns

Cause: package helm had its own copy of tide's comparison of two lists of disks and of a look-up in one, and the shorter turns of what stays undecided were a bare number worked out twice. Change: SameDisks and HasDisk of tide serve both; one expression for both lengths of turns. Behaviour is the same (a turn is 43.75 ms either way).

--- a/internal/helm/helm.go
+++ b/internal/helm/helm.go
@@ -222,7 +222,7 @@
 	var stay, wait []tide.Member
 	var gone []leaver
 	for _, s := range seen {
-		if s.Alive && s.Counts && s.Holds && !slices.ContainsFunc(members, func(x tide.Member) bool { return x.Disk == s.Disk }) {
+		if s.Alive && s.Counts && s.Holds && !tide.HasDisk(members, s.Disk) {
 			wait = append(wait, s.Member)
 		}
 	}
@@ -255,7 +255,7 @@
 			alive++
 		}
 	}
-	if alive < tide.Majority(next) || sameDisks(next, members) {
+	if alive < tide.Majority(next) || tide.SameDisks(next, members) {
 		return nil
 	}
 	return next
@@ -292,9 +292,3 @@
 	}
 	return longGone
 }
-
-func sameDisks(a, b []tide.Member) bool {
-	return len(a) == len(b) && !slices.ContainsFunc(a, func(m tide.Member) bool {
-		return !slices.ContainsFunc(b, func(x tide.Member) bool { return x.Disk == m.Disk })
-	})
-}
--- a/internal/tide/lease.go
+++ b/internal/tide/lease.go
@@ -146,11 +146,11 @@
 // accept nothing below a ballot that it has accepted nothing at: the others may know all and see no need.
 func (r *Replica) unstick(now time.Time) {
 	for _, key := range slices.Sorted(maps.Keys(r.stuck)) {
-		turn := stuckFor + time.Duration(r.place())*stuckTurn
+		turn := stuckTurn
 		if x := r.acceptor.Get(key); x.Promised != x.Accepted {
-			turn = stuckFor + time.Duration(r.place())*stuckTurn/8
+			turn /= shortTurn
 		}
-		if now.Sub(r.stuck[key]) < turn {
+		if now.Sub(r.stuck[key]) < stuckFor+time.Duration(r.place())*turn {
 			continue
 		}
 		r.stuck[key] = now
--- a/internal/tide/replica.go
+++ b/internal/tide/replica.go
@@ -26,6 +26,7 @@
 	aliveFor  = 2 * time.Second        // after its last word another counts as there
 	stuckFor  = 700 * time.Millisecond // after which what nobody finishes is finished here, if this disk's turn has come
 	stuckTurn = 350 * time.Millisecond // between two disks' turns
+	shortTurn = 8                      // so many times shorter ones where only this disk may see the need
 )
 
 // Out is what follows from an input. What is to be kept has to be on disk before anything else of it leaves the process.
--- a/internal/tide/set.go
+++ b/internal/tide/set.go
@@ -28,7 +28,7 @@
 func (s *Set) All() []Member {
 	out := slices.Clone(s.Members)
 	for _, m := range s.Next {
-		if !has(out, m.Disk) {
+		if !HasDisk(out, m.Disk) {
 			out = append(out, m)
 		}
 	}
@@ -36,9 +36,10 @@
 }
 
 // Has tells whether a disk counts on either side.
-func (s *Set) Has(disk string) bool { return has(s.Members, disk) || has(s.Next, disk) }
+func (s *Set) Has(disk string) bool { return HasDisk(s.Members, disk) || HasDisk(s.Next, disk) }
 
-func has(members []Member, disk string) bool {
+// HasDisk tells whether a disk is among some members.
+func HasDisk(members []Member, disk string) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Disk == disk })
 }
 
@@ -67,13 +68,13 @@
 	if s.Epoch != old.Epoch+1 || len(s.Members) == 0 {
 		return false
 	}
-	if same(s.Members, old.Members) {
-		return !old.Joint() || !s.Joint() || same(s.Next, old.Next)
+	if SameDisks(s.Members, old.Members) {
+		return !old.Joint() || !s.Joint() || SameDisks(s.Next, old.Next)
 	}
-	return old.Joint() && !s.Joint() && same(s.Members, old.Next)
+	return old.Joint() && !s.Joint() && SameDisks(s.Members, old.Next)
 }
 
-// same tells whether two lists are the same disks.
-func same(a, b []Member) bool {
-	return len(a) == len(b) && !slices.ContainsFunc(a, func(m Member) bool { return !has(b, m.Disk) })
+// SameDisks tells whether two lists are the same disks, in whatever order.
+func SameDisks(a, b []Member) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m Member) bool { return !HasDisk(b, m.Disk) })
 }
--- a/internal/tide/set_test.go
+++ b/internal/tide/set_test.go
@@ -51,7 +51,7 @@
 			if len(b.Members) > 0 && b.Follows(a) && !meet(a, b) {
 				t.Fatalf("%v follows %v, and they do not meet", *b, *a)
 			}
-			if len(b.Members) > 0 && !same(a.Members, b.Members) && !a.Joint() && b.Follows(a) {
+			if len(b.Members) > 0 && !SameDisks(a.Members, b.Members) && !a.Joint() && b.Follows(a) {
 				t.Fatalf("%v follows %v without a joint set", *b, *a)
 			}
 		}
