--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,287 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() {
+	cases["early"] = earlyAnswer
+	cases["reader"] = slowReader
+	cases["late-beat"] = lateBeat
+	cases["small-aim"] = smallAim
+	cases["chunked"] = chunkedBody
+	cases["zero"] = versionZero
+}
+
+const host = "jepu9.example"
+
+// deploy starts a deployment with a first configuration.
+func deploy(rec *record, first string, prepare func(w *world), services ...string) *world {
+	w := newWorld(rec, services...)
+	current = w
+	for _, m := range w.sides {
+		m.newEndpoint(20 * time.Millisecond)
+	}
+	if prepare != nil {
+		prepare(w)
+	}
+	w.boot()
+	w.replaceConfig(first)
+	w.settle()
+	return w
+}
+
+// earlyAnswer: an endpoint answers an upload with its own 500 before it has read the long body, keeps the connection and reads on later.
+func earlyAnswer(rec *record, trouble bool) (bool, *world) {
+	const (
+		bodyBytes = 12 << 20
+		readFirst = 256 << 10
+		readsOn   = 6 * time.Second // when the endpoint reads the rest
+		deadline  = 2500 * time.Millisecond
+		uploads   = 4
+	)
+	first := config("r1", []string{"depot", "finder"},
+		route{"r-up", host, "/up/", "ingest", 2.5, 0.6, 1, 2, "depot"})
+	w := deploy(rec, first, func(w *world) {
+		for _, m := range w.sides {
+			e := m.endpoint
+			e.rcvbuf = 64 << 10
+			e.handle = func(e *endpoint, x *arrival) {
+				if !trouble {
+					_, _ = io.Copy(io.Discard, x.req.Body)
+					e.ran(x)
+					e.answer(x, http.StatusInternalServerError, 40)
+					return
+				}
+				_, _ = io.CopyN(io.Discard, x.req.Body, readFirst)
+				e.ran(x)
+				e.answer(x, http.StatusInternalServerError, 40)
+				time.Sleep(readsOn)
+				n, err := io.Copy(io.Discard, x.req.Body)
+				e.m.w.record.add(e.id, "has read %d more bytes of %s (error %v)", n, x.id, err)
+			}
+		}
+	}, "depot", "depot", "finder")
+	client := w.sides[2]
+	body := bytes.Repeat([]byte("u"), bodyBytes)
+	broken := 0
+	for range uploads {
+		t := client.send(request{method: "POST", host: host, path: "/up/photo", deadline: deadline, body: body})
+		ran := w.runsOf(t.id)
+		rec.say("upload %s: run %d times by endpoints, the client got %d", t.id, ran, t.status)
+		if ran > 0 && (t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests) {
+			broken++
+		}
+	}
+	rec.say("REFUSED: %d of %d uploads have run and got 503 or 429", broken, uploads)
+	return broken > 0, w
+}
+
+// slowReader: clients read a long answer slowly, but well within their deadline, while their proxy is stopped in order.
+func slowReader(rec *record, trouble bool) (bool, *world) {
+	const (
+		answerBytes = 16 << 20
+		rate        = 3700 << 10 // bytes a second: the answer takes 4.4 s
+		deadline    = 8 * time.Second
+		reads       = 5
+	)
+	first := config("r1", []string{"depot", "finder"},
+		route{"r-read", host, "/read/", "safe", 8, 2, 2, 2, "depot"})
+	w := deploy(rec, first, func(w *world) {
+		for _, m := range w.sides {
+			m.endpoint.bodySize = answerBytes
+		}
+	}, "depot", "depot", "finder")
+	client := w.sides[2]
+	rq := request{method: "GET", host: host, path: "/read/report", deadline: deadline, rcvbuf: 64 << 10}
+	if trouble {
+		rq.readRate = rate
+	}
+	tries := make([]*try, reads)
+	var all sync.WaitGroup
+	for i := range tries {
+		all.Go(func() { tries[i] = client.send(rq) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	stoppedAt := time.Now()
+	client.signal("proxy", syscall.SIGTERM)
+	time.AfterFunc(graceTime, func() {
+		select {
+		case <-client.children["proxy"].ended:
+		default:
+			client.signal("proxy", syscall.SIGKILL)
+		}
+	})
+	all.Wait()
+	lost := 0
+	for _, t := range tries {
+		rec.say("%v, ended %.3f s after SIGTERM", t, t.endedAt.Sub(stoppedAt).Seconds())
+		if w.runsOf(t.id) > 0 && !t.whole && t.endedAt.Sub(t.sentAt) < deadline-100*time.Millisecond && t.endedAt.Sub(stoppedAt) < graceTime+time.Second {
+			lost++
+		}
+	}
+	rec.say("LOST: %d of %d requests were passed on to an endpoint, and their connection ended without a complete answer", lost, reads)
+	return lost > 0, w
+}
+
+// lateBeat: an endpoint deregisters first and serves on. Its proxy is killed and started again; a heartbeat from before comes late.
+func lateBeat(rec *record, trouble bool) (bool, *world) {
+	const (
+		restartAfter = 500 * time.Millisecond
+		beatLate     = 2500 * time.Millisecond
+		servesOn     = 9 * time.Second
+	)
+	first := config("r1", []string{"ledger", "finder"},
+		route{"r-charge", host, "/charge/", "mutating", 2.5, 0.6, 1, 2, "ledger"})
+	w := deploy(rec, first, nil, "ledger", "ledger", "finder", "finder", "finder")
+	leaving := w.sides[0]
+	e := leaving.endpoint
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for _, m := range w.sides[2:] {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(60 * time.Millisecond):
+				}
+				clients.Go(func() {
+					m.send(request{method: "POST", host: host, path: "/charge/ride", deadline: 2500 * time.Millisecond, body: []byte("ride")})
+				})
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	e.mu.Lock()
+	e.beating = false
+	e.mu.Unlock()
+	late := e.compose() // on its way already
+	time.Sleep(50 * time.Millisecond)
+	if !e.deregister() {
+		fail("Endpoints.Deregister was not acknowledged")
+	}
+	acknowledged := time.Now()
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	time.AfterFunc(beatLate, func() { e.send(late) })
+	backAt := acknowledged
+	if trouble {
+		time.Sleep(300 * time.Millisecond)
+		leaving.signal("proxy", syscall.SIGKILL)
+		time.Sleep(restartAfter)
+		leaving.run("proxy", false)
+		backAt = time.Now()
+	}
+	time.Sleep(time.Until(acknowledged.Add(servesOn)))
+	close(stop)
+	ended := time.Now()
+	e.end()
+	clients.Wait()
+	// Only requests that machines in touch have sent on count: contact_s after the restart, with a margin.
+	from := acknowledged.Add(drainTime)
+	if trouble && backAt.Add(contactTime+500*time.Millisecond).After(from) {
+		from = backAt.Add(contactTime + 500*time.Millisecond)
+	}
+	late421, count := 0, 0
+	e.mu.Lock()
+	for _, s := range e.seen {
+		if s.at.After(from) && s.at.Before(ended) {
+			if s.turned {
+				late421++
+			} else {
+				count++
+				rec.add("judge", "request %s reached %s %.3f s after the acknowledgement", s.id, e.id, s.at.Sub(acknowledged).Seconds())
+			}
+		}
+	}
+	e.mu.Unlock()
+	rec.say("DRAIN: from %.1f s after the acknowledgement on, %d requests reached the endpoint that is gone (and %d got 421)",
+		from.Sub(acknowledged).Seconds(), count, late421)
+	return count > 0, w
+}
+
+// smallAim: a configuration has a route whose aim is below a millisecond; a later one has it no more, and adds ordinary routes.
+func smallAim(rec *record, trouble bool) (bool, *world) {
+	services := []string{"ledger", "finder"}
+	oldRoute := route{"r-old", host, "/old/", "safe", 2, 0.5, 2, 2, "ledger"}
+	aim := 0.05
+	if trouble {
+		aim = 0.0005
+	}
+	w := deploy(rec, config("r1", services, oldRoute), nil, "ledger", "ledger", "finder")
+	w.replaceConfig(config("r2", services, oldRoute, route{"r-check", host, "/check/", "safe", nil, aim, 2, 2, "ledger"}))
+	time.Sleep(convergeTime)
+	w.replaceConfig(config("r5", services, oldRoute, route{"r-new", host, "/new/", "safe", 1.5, 0.6, 1, 2, "ledger"}))
+	time.Sleep(convergeTime + time.Second)
+	count := func(path string) (served int) {
+		for i := range 30 {
+			m := w.sides[i%len(w.sides)]
+			t := m.send(request{method: "GET", host: host, path: path, deadline: 1500 * time.Millisecond})
+			if t.status == http.StatusOK && t.whole {
+				served++
+			}
+		}
+		return served
+	}
+	old, added := count("/old/a"), count("/new/a")
+	rec.say("CONFIG: in a calm time, of 30 requests each, %d on the first route and %d on the route added later were served", old, added)
+	return added*4 < old, w
+}
+
+// chunkedBody: uploads arrive in chunks, within the limits of the configuration, one at a time.
+func chunkedBody(rec *record, trouble bool) (bool, *world) {
+	const bodyBytes, uploads = 12 << 20, 10
+	first := config("r1", []string{"depot", "finder"},
+		route{"r-up", host, "/up/", "ingest", 2.5, 0.6, 1, 2, "depot"})
+	w := deploy(rec, first, nil, "depot", "depot", "finder")
+	chunk := 0
+	if trouble {
+		chunk = 32 << 10
+	}
+	denied := 0
+	for range uploads {
+		t := w.sides[2].send(request{method: "POST", host: host, path: "/up/photo", deadline: 2500 * time.Millisecond, body: bytes.Repeat([]byte("u"), bodyBytes), chunk: chunk})
+		rec.say("%v", t)
+		if t.status == http.StatusRequestEntityTooLarge {
+			denied++
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	rec.say("DENIED: %d of %d proper requests ended with 413 (allowed: 5 and one in 500)", denied, uploads)
+	return float64(denied) > 5+float64(uploads)/500, w
+}
+
+// versionZero: the first configuration has the version r0.
+func versionZero(rec *record, trouble bool) (bool, *world) {
+	w := newWorld(rec, "ledger", "finder")
+	current = w
+	for _, m := range w.sides {
+		m.newEndpoint(20 * time.Millisecond)
+	}
+	w.boot()
+	epoch := "r1"
+	if trouble {
+		epoch = "r0"
+	}
+	w.replaceConfig(config(epoch, []string{"ledger", "finder"}, route{"r-old", host, "/old/", "safe", 2, 0.5, 2, 2, "ledger"}))
+	time.Sleep(12 * time.Second)
+	served, refused := 0, 0
+	for i := range 30 {
+		t := w.sides[i%2].send(request{method: "GET", host: host, path: "/old/a", deadline: 2 * time.Second})
+		if t.status == http.StatusOK && t.whole {
+			served++
+		} else {
+			refused++
+		}
+	}
+	rec.say("CONFIG: 10 s after the acknowledgement of the first configuration, %d requests on its route were served and %d not; ready: %v %v",
+		served, refused, w.sides[0].ready(), w.sides[1].ready())
+	return served == 0, w
+}
