--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -2,20 +2,26 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 func init() {
+	// The cases 4 to 8.
 	cases["early"] = earlyAnswer
-	cases["reader"] = slowReader
+	cases["unframed"] = unframedAnswer
 	cases["late-beat"] = lateBeat
+	cases["slow-endpoint"] = slowEndpoint
+	cases["reader"] = slowReader
+	// Lesser faults, without a folder.
 	cases["small-aim"] = smallAim
 	cases["chunked"] = chunkedBody
-	cases["zero"] = versionZero
+	cases["port"] = portInAuthority
 }
 
 const host = "jepu9.example"
@@ -258,30 +264,192 @@
 	return float64(denied) > 5+float64(uploads)/500, w
 }
 
-// versionZero: the first configuration has the version r0.
-func versionZero(rec *record, trouble bool) (bool, *world) {
-	w := newWorld(rec, "ledger", "finder")
-	current = w
-	for _, m := range w.sides {
-		m.newEndpoint(20 * time.Millisecond)
+// unframedAnswer: endpoints answer without a length, while the proxy that took the requests is stopped in order.
+func unframedAnswer(rec *record, trouble bool) (bool, *world) {
+	const (
+		work     = 800 * time.Millisecond
+		deadline = 2500 * time.Millisecond
+		bookings = 10
+	)
+	var mu sync.Mutex
+	doneAt := map[string]time.Time{} // when the endpoint ended its work on an attempt
+	dropped := map[string]bool{}     // the endpoint dropped the request, as its connection was closed
+	first := config("r1", []string{"ledger", "finder"},
+		route{"r-book", host, "/book/", "mutating", 2.5, 0.6, 1, 2, "ledger"})
+	w := deploy(rec, first, func(w *world) {
+		for _, m := range w.sides {
+			m.endpoint.handle = func(e *endpoint, x *arrival) {
+				_, _ = io.Copy(io.Discard, x.req.Body)
+				e.ran(x)
+				framing := "Transfer-Encoding: chunked"
+				if trouble {
+					framing = "Connection: close"
+				}
+				fmt.Fprintf(x.conn, "HTTP/1.1 200 x\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal.%s\r\n%s\r\n\r\n", x.id, x.id, framing)
+				gone := make(chan struct{})
+				go func() {
+					if _, err := x.in.Peek(1); err != nil {
+						close(gone)
+					}
+				}()
+				body := "booked " + x.id
+				select {
+				case <-time.After(work):
+					if trouble {
+						_, _ = io.WriteString(x.conn, body)
+						x.conn.Close()
+					} else {
+						fmt.Fprintf(x.conn, "%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+					}
+				case <-gone:
+					mu.Lock()
+					dropped[x.id] = true
+					mu.Unlock()
+					e.m.w.record.add(e.id, "drops %s: its connection was closed while it was at work", x.id)
+				}
+				mu.Lock()
+				doneAt[x.id] = time.Now()
+				mu.Unlock()
+			}
+		}
+	}, "ledger", "ledger", "finder")
+	client := w.sides[2]
+	stoppedAt := time.Now()
+	client.signal("proxy", syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond)
+	tries := make([]*try, bookings)
+	var all sync.WaitGroup
+	for i := range tries {
+		all.Go(func() {
+			tries[i] = client.send(request{method: "POST", host: host, path: "/book/slot", deadline: deadline, body: []byte("slot")})
+		})
+		time.Sleep(60 * time.Millisecond)
 	}
-	w.boot()
-	epoch := "r1"
+	all.Wait()
+	time.Sleep(work)
+	lost := 0
+	for _, t := range tries {
+		mu.Lock()
+		rec.say("%v, %.3f s after SIGTERM; dropped by the endpoint: %v", t, t.endedAt.Sub(stoppedAt).Seconds(), dropped[t.id])
+		ownAnswer := t.status >= 500 && t.header.Get("X-Server-Seal") == "" || t.status == 0
+		if w.runsOf(t.id) > 0 && ownAnswer && dropped[t.id] && t.endedAt.Sub(stoppedAt) < graceTime/2 && t.endedAt.Sub(t.sentAt) < deadline/2 {
+			lost++
+		}
+		mu.Unlock()
+	}
+	rec.say("LOST: %d of %d requests were broken off while their endpoint was at work on them, and got an answer of the proxy's own", lost, bookings)
+	return lost > 0, w
+}
+
+// slowEndpoint: one endpoint works slowly for a while. After it, uploads to it are tried in a calm time.
+func slowEndpoint(rec *record, trouble bool) (bool, *world) {
+	const (
+		slowFor     = 6500 * time.Millisecond
+		slowFactor  = 5
+		readWork    = 640 * time.Millisecond
+		uploadWork  = 190 * time.Millisecond
+		uploadBytes = 2 << 20
+		readEvery   = 160 * time.Millisecond
+		uploadEvery = 100 * time.Millisecond
+		tried       = 24
+	)
+	services := []string{"finder", "ledger", "depot"}
+	read := route{"r-read", host, "/read/", "safe", 8, 2, 2, 2, "depot"}
+	find := route{"r-find", host, "/find/", "safe", 2, 0.5, 2, 2, "finder"}
+	upload := route{"r-up", host, "/up/", "ingest", 2.5, 0.6, 1, 2, "depot"}
+	var slow atomic.Bool
+	const capacity = 9
+	w := deploy(rec, config("r1", services, find, read), func(w *world) {
+		e := w.sides[0].endpoint
+		slots := make(chan struct{}, capacity)
+		e.handle = func(e *endpoint, x *arrival) {
+			_, _ = io.Copy(io.Discard, x.req.Body)
+			select {
+			case slots <- struct{}{}:
+			default:
+				fmt.Fprintf(x.conn, "HTTP/1.1 503 x\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", x.id)
+				return
+			}
+			e.ran(x)
+			work := readWork
+			if x.req.Method == "POST" {
+				work = uploadWork
+			}
+			if slow.Load() {
+				work *= slowFactor
+			}
+			time.Sleep(work)
+			<-slots
+			e.answer(x, http.StatusOK, 400)
+		}
+	}, "depot", "finder", "finder", "finder", "ledger", "ledger")
+	w.replaceConfig(config("r2", services, find, read, upload))
+	time.Sleep(convergeTime + time.Second)
+	body := bytes.Repeat([]byte("u"), uploadBytes)
+	send := func(m *machine, kind string) *try {
+		switch kind {
+		case "read":
+			return m.send(request{method: "GET", host: host, path: "/read/trips", deadline: 8 * time.Second})
+		case "find":
+			return m.send(request{method: "GET", host: host, path: "/find/bike", deadline: 2 * time.Second})
+		}
+		return m.send(request{method: "POST", host: host, path: "/up/photo", deadline: 2500 * time.Millisecond, body: body})
+	}
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	every := func(interval time.Duration, kind string) {
+		all.Go(func() {
+			for i := 1; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(interval):
+				}
+				all.Go(func() { send(w.sides[1+i%5], kind) })
+			}
+		})
+	}
+	every(readEvery, "read")
+	every(uploadEvery, "upload")
+	time.Sleep(3 * time.Second)
 	if trouble {
-		epoch = "r0"
+		rec.add("platform", "the endpoint %s works %d times as long for %v", w.sides[0].endpoint.id, slowFactor, slowFor)
+		slow.Store(true)
 	}
-	w.replaceConfig(config(epoch, []string{"ledger", "finder"}, route{"r-old", host, "/old/", "safe", 2, 0.5, 2, 2, "ledger"}))
-	time.Sleep(12 * time.Second)
-	served, refused := 0, 0
-	for i := range 30 {
-		t := w.sides[i%2].send(request{method: "GET", host: host, path: "/old/a", deadline: 2 * time.Second})
-		if t.status == http.StatusOK && t.whole {
-			served++
-		} else {
-			refused++
+	time.Sleep(slowFor)
+	slow.Store(false)
+	close(stop)
+	all.Wait()
+	time.Sleep(contactTime + 2*time.Second)
+	rec.add("platform", "a calm time")
+	count := func(kind string) (served int) {
+		for i := range tried {
+			if t := send(w.sides[1+i%5], kind); t.status == http.StatusOK && t.whole {
+				served++
+			}
+		}
+		return served
+	}
+	found, read1, uploaded := count("find"), count("read"), count("upload")
+	rec.say("CONFIG: in a calm time, of %d requests each, %d and %d on the first routes and %d on the route added later were served", tried, found, read1, uploaded)
+	return uploaded*4 < min(found, read1), w
+}
+
+// portInAuthority: the authority of a route has a port, and clients send it in Host.
+func portInAuthority(rec *record, trouble bool) (bool, *world) {
+	const requests = 30
+	authority := host
+	if trouble {
+		authority += ":8080"
+	}
+	w := deploy(rec, config("r1", []string{"depot", "finder"}, route{"r-read", authority, "/read/", "safe", 8, 2, 2, 2, "depot"}), nil, "depot", "finder")
+	denied := 0
+	for i := range requests {
+		t := w.sides[i%2].send(request{method: "GET", host: authority, path: "/read/x", deadline: 2 * time.Second})
+		if t.status == http.StatusNotFound {
+			denied++
 		}
 	}
-	rec.say("CONFIG: 10 s after the acknowledgement of the first configuration, %d requests on its route were served and %d not; ready: %v %v",
-		served, refused, w.sides[0].ready(), w.sides[1].ready())
-	return served == 0, w
+	rec.say("CONFIG, DENIED: %d of %d requests on a route that is there got 404", denied, requests)
+	return denied > 5, w
 }
