--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -22,6 +22,7 @@
 	cases["small-aim"] = smallAim
 	cases["chunked"] = chunkedBody
 	cases["port"] = portInAuthority
+	cases["crash-loop"] = crashLoop
 }
 
 const host = "jepu9.example"
@@ -344,13 +345,13 @@
 // slowEndpoint: one endpoint works slowly for a while. After it, uploads to it are tried in a calm time.
 func slowEndpoint(rec *record, trouble bool) (bool, *world) {
 	const (
-		slowFor     = 6500 * time.Millisecond
+		slowFor     = 7000 * time.Millisecond
 		slowFactor  = 5
 		readWork    = 640 * time.Millisecond
 		uploadWork  = 190 * time.Millisecond
-		uploadBytes = 2 << 20
+		uploadBytes = 16 << 20
 		readEvery   = 160 * time.Millisecond
-		uploadEvery = 100 * time.Millisecond
+		uploadEvery = 200 * time.Millisecond
 		tried       = 24
 	)
 	services := []string{"finder", "ledger", "depot"}
@@ -382,7 +383,7 @@
 			<-slots
 			e.answer(x, http.StatusOK, 400)
 		}
-	}, "depot", "finder", "finder", "finder", "ledger", "ledger")
+	}, "depot", "finder", "finder", "finder", "ledger", "ledger", "finder", "ledger", "finder")
 	w.replaceConfig(config("r2", services, find, read, upload))
 	time.Sleep(convergeTime + time.Second)
 	body := bytes.Repeat([]byte("u"), uploadBytes)
@@ -405,7 +406,7 @@
 					return
 				case <-time.After(interval):
 				}
-				all.Go(func() { send(w.sides[1+i%5], kind) })
+				all.Go(func() { send(w.sides[1+i%8], kind) })
 			}
 		})
 	}
@@ -424,7 +425,7 @@
 	rec.add("platform", "a calm time")
 	count := func(kind string) (served int) {
 		for i := range tried {
-			if t := send(w.sides[1+i%5], kind); t.status == http.StatusOK && t.whole {
+			if t := send(w.sides[1+i%8], kind); t.status == http.StatusOK && t.whole {
 				served++
 			}
 		}
@@ -453,3 +454,69 @@
 	rec.say("CONFIG, DENIED: %d of %d requests on a route that is there got 404", denied, requests)
 	return denied > 5, w
 }
+
+// crashLoop: the proxy beside a cold endpoint is killed again and again, each time soon after it serves.
+func crashLoop(rec *record, trouble bool) (bool, *world) {
+	const (
+		kills        = 4
+		restartAfter = 100 * time.Millisecond
+		serves       = 350 * time.Millisecond
+		coldFor      = 8 * time.Second
+		allowed      = 9.3*1.5 + 5 // warmup_per_s x warmup_excess + warmup_slack
+	)
+	first := config("r1", []string{"ledger", "finder"}, route{"r-find", host, "/find/", "safe", 2.5, 0.6, 1, 2, "ledger"})
+	w := deploy(rec, first, nil, "ledger", "finder", "finder", "finder", "finder")
+	m := w.sides[0]
+	e := m.endpoint
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for _, m := range w.sides[1:] {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(25 * time.Millisecond):
+				}
+				clients.Go(func() {
+					m.send(request{method: "GET", host: host, path: "/find/bike", deadline: 2500 * time.Millisecond})
+				})
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	e.mu.Lock()
+	e.coldTo = time.Now().Add(coldFor)
+	e.mu.Unlock()
+	e.send(e.compose())
+	from := time.Now().Add(time.Second)
+	time.Sleep(2500 * time.Millisecond)
+	for range kills {
+		if trouble {
+			m.signal("proxy", syscall.SIGKILL)
+			<-m.children["proxy"].ended
+			time.Sleep(restartAfter)
+			m.run("proxy", false)
+		}
+		time.Sleep(serves)
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	clients.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	worst := 0
+	for i, first := range e.seen {
+		n := 0
+		for _, s := range e.seen[i:] {
+			if !s.turned && s.at.Sub(first.at) < time.Second && s.at.Before(e.coldTo) {
+				n++
+			}
+		}
+		if first.at.After(from) {
+			worst = max(worst, n)
+		}
+	}
+	rec.say("FAILBACK: %d requests reached the cold endpoint in the worst second (allowed: %.2f)", worst, allowed)
+	return float64(worst) > allowed, w
+}
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -26,8 +26,9 @@
 
 	mu       sync.Mutex
 	seq      uint64
-	state    string // serving, draining
-	leaving  bool   // its health check answers 503
+	state    string    // serving, draining
+	leaving  bool      // its health check answers 503
+	coldTo   time.Time // until then it is cold
 	beating  bool
 	listener net.Listener
 	conns    map[net.Conn]bool
@@ -119,10 +120,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.seq++
-	return fmt.Sprintf(`{"target":%q,"address":%q,"zone":%q,"epoch":"v1","capacity":9,"state":%q,"warmup_left_s":0,"call_seq":%d}`,
-		e.m.service, e.m.at(portApp), e.m.zone, e.state, e.seq)
+	return fmt.Sprintf(`{"target":%q,"address":%q,"zone":%q,"epoch":"v1","capacity":9,"state":%q,"warmup_left_s":%.3f,"call_seq":%d}`,
+		e.m.service, e.m.at(portApp), e.m.zone, e.state, e.coldLeft(), e.seq)
 }
 
+// coldLeft returns for how many seconds the endpoint stays cold. e.mu is held.
+func (e *endpoint) coldLeft() float64 { return max(time.Until(e.coldTo).Seconds(), 0) }
+
 var apiClient = &http.Client{
 	Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true},
 	CheckRedirect: func(_ *http.Request, via []*http.Request) error {
@@ -177,8 +181,9 @@
 			if e.leaving {
 				status = http.StatusServiceUnavailable
 			}
+			cold := e.coldLeft()
 			e.mu.Unlock()
-			fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Responding-Instance: %s\r\nContent-Length: 0\r\n\r\n", status, e.id)
+			fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Responding-Instance: %s\r\nX-Warmup-Remaining: %.3f\r\nContent-Length: 0\r\n\r\n", status, e.id, cold)
 			continue
 		}
 		x := &arrival{conn: c, in: in, req: req, id: req.Header.Get("X-Attempt-Id")}
