Review: an upload whose answer is lost runs twice

TWICE forbids a second run. The other cases move by one number, and the long answer that is read slowly becomes a play without a folder, as five cases are the most.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,12 +14,13 @@
 
 func init() {
 	// The cases 4 to 8.
+	cases["lost-answer"] = lostAnswer
 	cases["early"] = earlyAnswer
 	cases["unframed"] = unframedAnswer
 	cases["late-beat"] = lateBeat
 	cases["slow-endpoint"] = slowEndpoint
-	cases["reader"] = slowReader
 	// Lesser faults, without a folder.
+	cases["reader"] = slowReader
 	cases["small-aim"] = smallAim
 	cases["chunked"] = chunkedBody
 	cases["port"] = portInAuthority
@@ -43,6 +45,51 @@
 	return w
 }
 
+// lostAnswer: an endpoint that begins work on an upload before it has read the long body loses a few of its answers by a reset.
+func lostAnswer(rec *record, trouble bool) (bool, *world) {
+	const (
+		bodyBytes = 12 << 20
+		readFirst = 256 << 10
+		work      = 150 * time.Millisecond
+		loseEvery = 20 // 0.05 of what this endpoint runs
+		uploads   = 60
+	)
+	first := config("r1", []string{"depot", "finder"}, route{"r-up", host, "/up/", "ingest", 2.5, 0.6, 1, 2, "depot"})
+	var ran atomic.Int32
+	w := deploy(rec, first, func(w *world) {
+		for _, m := range w.sides {
+			e := m.endpoint
+			e.rcvbuf = 64 << 10
+			e.handle = func(e *endpoint, x *arrival) {
+				_, _ = io.CopyN(io.Discard, x.req.Body, readFirst)
+				e.ran(x)
+				if trouble && e == w.sides[0].endpoint && ran.Add(1)%loseEvery == 0 {
+					time.Sleep(work)
+					_ = x.conn.(*net.TCPConn).SetLinger(0)
+					x.conn.Close()
+					e.m.w.record.add(e.id, "has run %s; its answer is lost by a reset", x.id)
+					return
+				}
+				_, _ = io.Copy(io.Discard, x.req.Body)
+				time.Sleep(work)
+				e.answer(x, http.StatusOK, 400)
+			}
+		}
+	}, "depot", "depot", "finder", "finder", "finder")
+	client := w.sides[4] // in the zone of the first endpoint
+	body := bytes.Repeat([]byte("u"), bodyBytes)
+	twice := 0
+	for i := range uploads {
+		t := client.send(request{method: "POST", host: host, path: "/up/photo", deadline: 2500 * time.Millisecond, body: body})
+		if n := w.runsOf(t.id); n > 1 {
+			twice++
+			rec.say("upload %d, %s: run %d times by endpoints, the client got %d", i+1, t.id, n, t.status)
+		}
+	}
+	rec.say("TWICE: %d of %d uploads have run more than once; the answers of %d were lost", twice, uploads, int(ran.Load())/loseEvery)
+	return twice > 0, w
+}
+
 // earlyAnswer: an endpoint answers an upload with its own 500 before it has read the long body, keeps the connection and reads on later.
 func earlyAnswer(rec *record, trouble bool) (bool, *world) {
 	const (
