--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -18,9 +18,9 @@
 	cases["early"] = earlyAnswer
 	cases["unframed"] = unframedAnswer
 	cases["late-beat"] = lateBeat
-	cases["slow-endpoint"] = slowEndpoint
-	// Lesser faults, without a folder.
 	cases["reader"] = slowReader
+	// Faults without a folder.
+	cases["slow-endpoint"] = slowEndpoint
 	cases["small-aim"] = smallAim
 	cases["chunked"] = chunkedBody
 	cases["port"] = portInAuthority
