sidecar: pass on a response that ends with its connection

What callers saw: a response with neither a length nor chunks was broken off at its head.

Cause: receiveOne rejected such a head, as "its end could not be distinguished from a broken connection". A read tells an end of the stream from a reset. Only after a failed write it does not, because the write consumes the reset; a response without a length that comes before the request was written is therefore still incomplete.

The connection is never used again. A proxy of the mesh always announces a length, so one without is still no response on the second link.

Evidence: before the change TestResponseEndsWithItsConnection fails in 8 of 15 cases ("outcome connection_failed, want completed"), and TestRequestOutcomes/without_a_length with "502 Bad Gateway after 1 requests at the endpoint, want 200".

--- a/internal/fakeserver/misbehaving.go
+++ b/internal/fakeserver/misbehaving.go
@@ -136,7 +136,7 @@
 		m = c.server.Choose(n)
 	}
 	if c.sentExtra { // with an incomplete response it could form a valid one, which no client could detect
-		m.MissingBytes, m.CutInResponse, m.Malformed = 0, -1, false
+		m.MissingBytes, m.CutInResponse, m.Malformed, m.Unframed = 0, -1, false, false
 	}
 	c.sentExtra = c.sentExtra || m.Extra != NoExtra
 	if !c.receive(q, &m) {
@@ -190,7 +190,7 @@
 	if m.ExtraTime == WithResponse {
 		text = append(bytes.Clone(text), extra...)
 	}
-	if !c.trySend(text) || m.CloseAfter {
+	if !c.trySend(text) || m.CloseAfter || m.Unframed {
 		return false
 	}
 	if m.Malformed || m.MissingBytes > 0 {
@@ -282,6 +282,8 @@
 	switch {
 	case status == http.StatusNoContent:
 		b.WriteString("\r\n")
+	case m.Unframed:
+		b.WriteString("\r\n" + body)
 	case m.Chunked:
 		length := fmt.Sprintf("%x", len(body)+m.MissingBytes)
 		if m.Malformed {
--- a/internal/fakeserver/misbehavior.go
+++ b/internal/fakeserver/misbehavior.go
@@ -63,6 +63,7 @@
 	SpareContinue     bool // an interim response between the head and the body of the request
 	IDMode            int  // the id of the response: 0 the request's, 1 another, 2 none, 3 both
 	Chunked           bool
+	Unframed          bool // the response has no length and ends with its connection
 	Malformed         bool // the length of a chunk, or the status line, is invalid
 	MissingBytes      int  // number of bytes by which the announced length exceeds the sent body
 	OmitSeal          bool
@@ -121,5 +122,17 @@
 	if oneIn(2) && m.MissingBytes == 0 { // otherwise the extra message would be read as the end of the body
 		m.Extra, m.ExtraTime = ExtraMessage(r.IntN(int(extraMessages))), ExtraTime(r.IntN(int(extraTimes)))
 	}
+	if oneIn(12) {
+		m.omitLength()
+	}
 	return m
 }
+
+// omitLength makes the response end with its connection. Of such a response, only a reset shows that it is incomplete, and no byte after
+// it belongs to another message.
+func (m *Misbehavior) omitLength() {
+	m.Unframed, m.Chunked, m.MissingBytes, m.Extra = true, false, 0, NoExtra
+	if m.CutInResponse >= 0 && m.CloseMode != StopReading {
+		m.CloseMode = CloseByReset
+	}
+}
--- a/internal/mesh/proxy/path_test.go
+++ b/internal/mesh/proxy/path_test.go
@@ -339,6 +339,7 @@
 		{"503 without the not-executed header", "/pay/", respond(http.StatusServiceUnavailable), 502, 1},
 		{"body cut off", "/pay/", raw(sealed + "bo"), 502, 1},
 		{"no response", "/pay/", raw(""), 502, 1},
+		{"without a length", "/pay/", raw("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\nConnection: close\r\n\r\nbody"), 200, 1},
 		{"not HTTP", "/pay/", raw("what?\r\n\r\n"), 502, 1},
 		{"extra response before", "/pay/", raw(strings.Replace(sealed, "ID", "older", 1) + "late" + sealed + "body"), 200, 1},
 		{"extra response after", "/pay/", raw(sealed + "body" + sealed + "more"), 200, 1},
--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -151,10 +151,7 @@
 		return nil, errTooLong
 	}
 	if length == lengthChunked {
-		body, err := io.ReadAll(io.LimitReader(newChunkReader(r), maxBytes+1))
-		if err == nil && int64(len(body)) > maxBytes {
-			err = errTooLong
-		}
+		body, err := readBodyToEnd(newChunkReader(r), maxBytes)
 		if err == nil {
 			_, err = readLines(r) // trailers are dropped
 		}
@@ -174,6 +171,15 @@
 	return body, nil
 }
 
+// readBodyToEnd reads a body that ends with its source and has at most maxBytes. A connection that is reset is an error and no end.
+func readBodyToEnd(source io.Reader, maxBytes int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(source, maxBytes+1))
+	if err == nil && int64(len(body)) > maxBytes {
+		err = errTooLong
+	}
+	return body, err
+}
+
 // hasNoBody reports whether responses of a status have no body (RFC 9110, section 6.4.1).
 func hasNoBody(status int) bool {
 	return status == http.StatusNoContent || status == http.StatusNotModified
--- a/internal/sidecar/roundtrip.go
+++ b/internal/sidecar/roundtrip.go
@@ -174,17 +174,24 @@
 	if c.exchange.State == exchange.AwaitingContinue {
 		c.setReadDeadline(a, deadline)
 	}
+	endsWithConnection := m.length == lengthUnknown && !hasNoBody(status)
+	if endsWithConnection && !ex.mayEndWithConnection(c) {
+		return nil, errBadLength
+	}
 	if isOwn {
 		c.apply(exchange.ResponseStarted)
 	}
 	var body []byte
-	if !hasNoBody(status) {
-		if m.length == lengthUnknown { // its end could not be distinguished from a broken connection
-			return nil, errBadLength
-		}
-		if body, err = readBodyUpTo(c.reader, m.length, ex.MaxReplyBytes); err != nil {
-			return nil, err
-		}
+	switch {
+	case hasNoBody(status):
+	case endsWithConnection:
+		c.apply(exchange.PeerClosing)
+		body, err = readBodyToEnd(c.reader, ex.MaxReplyBytes)
+	default:
+		body, err = readBodyUpTo(c.reader, m.length, ex.MaxReplyBytes)
+	}
+	if err != nil {
+		return nil, err
 	}
 	if !isOwn {
 		c.apply(exchange.OtherResponse)
@@ -195,6 +202,12 @@
 	return &Reply{Status: status, Header: endToEnd(m.header), Body: body, AfterOtherResponse: c.exchange.SawOtherResponse()}, nil
 }
 
+// mayEndWithConnection reports whether the end of the connection can complete a response without a length. A proxy of the mesh always
+// announces a length. After a write that failed, a reset can no longer be told from an end of the stream: the write has consumed it.
+func (ex *Exchange) mayEndWithConnection(c *conn) bool {
+	return !ex.PeerIsProxy && c.exchange.State != exchange.Writing
+}
+
 // writeHeadAndBody writes a head and a body, in one write if the body is short.
 func writeHeadAndBody(c *conn, head *bytes.Buffer, body []byte) error {
 	if len(body) < maxBufferedBody {
