sidecar: pass on a response without a length at listeners

A listener of an operator file broke a response with neither a length nor chunks off at its head, and the client got a failure while the server was at work.

Change: the body ends with the connection, which is not used again. A long one is streamed to the client in chunks; a reset breaks it off, so that the client can detect it.

--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -114,8 +114,10 @@
 func readListenerBody(c *conn, m *message, r *response) (rest io.Reader, err error) {
 	switch {
 	case r.noBody:
-	case m.length == lengthUnknown: // its end could not be distinguished from a broken connection
-		return nil, errBadLength
+	case m.length == lengthUnknown: // the body ends with the connection (RFC 9112, section 6.3)
+		c.apply(exchange.PeerClosing)
+		r.length = lengthChunked
+		r.body, rest, err = readFirst(c.reader, time.Time{})
 	case m.length == lengthChunked:
 		r.body, rest, err = readFirst(newTrailerReader(c.reader), time.Time{})
 	case m.length > maxBufferedBody:
--- a/internal/sidecar/unframedresponse_test.go
+++ b/internal/sidecar/unframedresponse_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"milletmast/balancer"
 	"milletmast/internal/exchange"
 )
 
@@ -101,3 +102,51 @@
 		t.Errorf("outcome %v, %+v, want %v", outcome, reply, exchange.ConnectionFailed)
 	}
 }
+
+// At a listener of an operator file too, a response without a length ends with its connection, and one that is reset is not complete.
+func TestListenerResponseEndsWithItsConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		head    string
+		length  int // of the body
+		isReset bool
+		outcome balancer.Outcome
+	}{
+		"short":           {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", 3, false, balancer.OK},
+		"not announced":   {"HTTP/1.1 200 OK\r\n\r\n", 3, false, balancer.OK},
+		"a client error":  {"HTTP/1.1 404 Not Found\r\n\r\n", 3, false, balancer.Canceled},
+		"streamed":        {"HTTP/1.1 200 OK\r\n\r\n", 3 * maxBufferedBody, false, balancer.OK},
+		"reset":           {"HTTP/1.1 200 OK\r\n\r\n", 3, true, balancer.Reset},
+		"streamed, reset": {"HTTP/1.1 200 OK\r\n\r\n", 3 * maxBufferedBody, true, balancer.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := scriptedServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, c.head+strings.Repeat("x", c.length))
+				if c.isReset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			u := newTestUpstream(server.Addr().String(), 1)
+			defer u.close()
+			var streamed int64
+			a := newAttempt(time.Time{})
+			a.onStreaming = func(r *response) {
+				rest, err := io.Copy(io.Discard, r.stream)
+				streamed = int64(len(r.body)) + rest
+				r.stream.done <- err
+			}
+			request := get()
+			request.fromListener = true
+			outcome, r := request.send(u, a, u.endpointOf(1), time.Now().Add(time.Minute))
+			if outcome != c.outcome {
+				t.Fatalf("outcome %v, want %v", outcome, c.outcome)
+			}
+			if outcome != balancer.Reset && r != nil && len(r.body) != c.length || outcome == balancer.OK && r == nil && streamed != int64(c.length) {
+				t.Errorf("%+v, %d bytes were streamed, want %d", r, streamed, c.length)
+			}
+			if u.openConns != 0 {
+				t.Errorf("%d connections are kept, want none", u.openConns)
+			}
+		})
+	}
+}
