proxy: answer HEAD without a body, and wait for none

What callers saw: HEAD on a route ran at the endpoint, and the proxy waited for a body until the deadline, then answered 503 or 502. On an unknown route the proxy's own 404 to HEAD had a body, which the client read as the start of the next response.

Cause: the exchange and the port looked at the status alone to decide whether a response has a body (RFC 9110, section 9.3.2).

Measured: TestHeadHasNoBody fails without the change ("503 Service Unavailable" after the deadline, then "malformed HTTP status code \"route\""), and passes with it. HEAD is sent to the endpoint without Content-Length, like GET.

--- a/internal/mesh/proxy/inboundrequest.go
+++ b/internal/mesh/proxy/inboundrequest.go
@@ -22,7 +22,7 @@
 	queueTime        time.Duration
 	id               string
 	body             []byte
-	omitLength       bool
+	method           string
 	writeHead        func(*bytes.Buffer)
 }
 
@@ -41,7 +41,7 @@
 		deadline:         incoming.ReceivedAt.Add(left - localLatency),
 		id:               header.Get(idHeader),
 		body:             incoming.Body,
-		omitLength:       incoming.Method == http.MethodGet,
+		method:           incoming.Method,
 	}
 	req.queueTime, _, _ = sidecar.Deadline(header, queueTimeHeader)
 	req.priority, _ = strconv.Atoi(header.Get(priorityHeader))
@@ -166,7 +166,7 @@
 ) (outcome string, reply *sidecar.Reply) {
 	startedAt := time.Now()
 	exchangeOutcome, reply := ep.pool.RoundTrip(ctx, &sidecar.Exchange{
-		Body: req.body, OmitLength: req.omitLength, ID: req.id, MaxReplyBytes: maxBodyBytes,
+		Body: req.body, OmitLength: omitsLength(req.method), IsHead: req.method == http.MethodHead, ID: req.id, MaxReplyBytes: maxBodyBytes,
 		Head: func(left time.Duration) []byte {
 			var b bytes.Buffer
 			req.writeHead(&b)
--- a/internal/mesh/proxy/outboundrequest.go
+++ b/internal/mesh/proxy/outboundrequest.go
@@ -84,6 +84,9 @@
 	return table.Rank(clientKey, affinityDepth)
 }
 
+// omitsLength reports whether an empty body of a method is sent without a length, as such a request has no body.
+func omitsLength(method string) bool { return method == http.MethodGet || method == http.MethodHead }
+
 // affinityDepth is the number of preferred endpoints; the order of the others does not depend on the
 // client.
 const affinityDepth = 3
@@ -183,7 +186,7 @@
 		queueTime:        plan.queueTime,
 		id:               out.request.Header.Get(idHeader),
 		body:             out.request.Body,
-		omitLength:       out.request.Method == http.MethodGet,
+		method:           out.request.Method,
 		writeHead:        func(b *bytes.Buffer) { out.writeHead(b, attempt.Server) },
 	})
 }
@@ -196,7 +199,8 @@
 	}
 	return &sidecar.Exchange{
 		Body:            out.request.Body,
-		OmitLength:      out.request.Method == http.MethodGet,
+		OmitLength:      omitsLength(out.request.Method),
+		IsHead:          out.request.Method == http.MethodHead,
 		ID:              out.request.Header.Get(idHeader),
 		PeerIsProxy:     true,
 		MaxReplyBytes:   maxBodyBytes,
--- a/internal/mesh/proxy/path_test.go
+++ b/internal/mesh/proxy/path_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -364,6 +365,40 @@
 	}
 }
 
+// HEAD is answered without a body, and its connection carries the next request: through both proxies, at the own endpoint, and where the
+// proxy answers itself. A body would be read as the next response, and a wait for one lasts until the deadline.
+func TestHeadHasNoBody(t *testing.T) {
+	_, from, to := startTwoProxies(t)
+	conn, err := net.Dial("tcp", from.s.Outbound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	reader := bufio.NewReader(conn)
+	for i, c := range []struct {
+		method, path string
+		status       int
+		body         string
+	}{
+		{"HEAD", "/read/", http.StatusOK, ""}, {"HEAD", "/nowhere/", http.StatusNotFound, ""}, {"HEAD", "/read/again", http.StatusOK, ""},
+		{"GET", "/read/", http.StatusOK, "GET /read/ "},
+	} {
+		fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: h-%d\r\nX-Deadline-Remaining: 1000\r\n\r\n", c.method, c.path, i)
+		r, err := http.ReadResponse(reader, &http.Request{Method: c.method})
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || r.StatusCode != c.status || string(body) != c.body {
+			t.Errorf("request %d: %s, %q, %v, want %d and %q", i, r.Status, body, err, c.status, c.body)
+		}
+	}
+	if to.requestCount() != 3 {
+		t.Errorf("%d requests at the endpoint, want 3", to.requestCount())
+	}
+}
+
 // A large body is sent only once the proxy beside the endpoint has admitted the request.
 func TestLargeBodyIsSentAfterAdmission(t *testing.T) {
 	_, from, to := startTwoProxies(t)
--- a/internal/sidecar/roundtrip.go
+++ b/internal/sidecar/roundtrip.go
@@ -17,6 +17,7 @@
 	Head          func(left time.Duration) []byte // returns the head for the time left, without Content-Length and the empty line
 	Body          []byte
 	OmitLength    bool   // an empty body is sent without Content-Length
+	IsHead        bool   // the method is HEAD: the response has no body, whatever length it announces
 	ID            string // required in X-Attempt-Id of the response; see exchange.ResponseMatches
 	PeerIsProxy   bool   // the server is a proxy of the mesh: it responds in order and may omit the id
 	MaxReplyBytes int64  // limit of the response body
@@ -174,7 +175,8 @@
 	if c.exchange.State == exchange.AwaitingContinue {
 		c.setReadDeadline(a, deadline)
 	}
-	endsWithConnection := m.length == lengthUnknown && !hasNoBody(status)
+	noBody := ex.IsHead || hasNoBody(status)
+	endsWithConnection := m.length == lengthUnknown && !noBody
 	if endsWithConnection && !ex.mayEndWithConnection(c) {
 		return nil, errBadLength
 	}
@@ -183,7 +185,7 @@
 	}
 	var body []byte
 	switch {
-	case hasNoBody(status):
+	case noBody:
 	case endsWithConnection:
 		c.apply(exchange.PeerClosing)
 		body, err = readBodyToEnd(c.reader, ex.MaxReplyBytes)
