exchange: a request whose body was written in part may have run

Cause: the state Writing lasted from the first byte to the last, and what ended in it was NotWritten. "Never reached" is retried outside the retry budget and max_tries. An endpoint may begin as soon as it has the head.

Change: the state WritingBody begins when the kernel has the whole head for a server that may be any program; ConnectionBroken and DeadlineExceeded end it as ConnectionFailed and TimedOut. A proxy of the mesh reads the whole request before it passes it on, so its requests stay in Writing, and Expect is used towards proxies alone. The earlier sidecar's uploads, buffered and streamed, get the same state.

Tests: what asserted NotWritten at a partly written request stays, as it holds until the head is written; the cells beside it are new. TestBodyIsSentOnlyIfAccepted now says that its server is a proxy of the mesh, which it is.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,7 +3,8 @@
 // function, Next, makes all state changes. docs/design/answers.md has its table.
 //
 // Two rules depend on it. A request that may have been executed is sent again only if it is idempotent, so NotWritten must be
-// certain. A connection carries another request only if no bytes on it can belong to an earlier one.
+// certain. A server may begin as soon as it has the head, so from then on nothing is, unless the server is a program of this
+// project, which reads the whole request first: for such a server HeadWritten is not reported. A connection carries another request only if no bytes on it can belong to an earlier one.
 package exchange
 
 // Outcome is the result of an exchange that is done.
@@ -11,10 +12,10 @@
 
 // The outcomes.
 const (
-	NotWritten       Outcome = iota // the request was not written completely: it cannot have been executed
+	NotWritten       Outcome = iota // too little of the request was written for it to have been executed
 	Completed                       // the response was received completely
-	ConnectionFailed                // the request was written, and no valid response was received
-	TimedOut                        // the request was written, and no response was received in time
+	ConnectionFailed                // the request may have been executed, and no valid response was received
+	TimedOut                        // the request may have been executed, and no response was received in time
 	Canceled                        // the caller canceled the request, which may have been written
 )
 
@@ -28,7 +29,8 @@
 // The states, in the order in which an exchange goes through them.
 const (
 	Idle             State = iota // no byte of a request was written, and no response is pending
-	Writing                       // a part of the request may have been written
+	Writing                       // a part of the request may have been written, too little for its execution to begin
+	WritingBody                   // the head was written to a server that may execute a request before it has read the body
 	AwaitingContinue              // the request head was written, and the body waits for a 100 Continue
 	AwaitingResponse              // the request was written, and the head of the response has not been received
 	ReadingResponse               // the head of the response was received, the rest was not
@@ -41,6 +43,7 @@
 // The events.
 const (
 	WriteStarted      Event = iota // the first byte of the request is written
+	HeadWritten                    // the last byte of the head was written, to a server that may begin before it has the body
 	ContinueRequested              // the head was written, with Expect: 100-continue
 	ContinueReceived               // a 100 Continue was received
 	RequestWritten                 // the last byte of the request was written
@@ -81,20 +84,22 @@
 		x.unusable = true
 	case x.State == Idle && event == WriteStarted:
 		x.State = Writing
+	case x.State == Writing && event == HeadWritten:
+		x.State = WritingBody
 	case x.State == Writing && event == ContinueRequested:
 		x.State = AwaitingContinue
 	case x.State == AwaitingContinue && event == ContinueReceived:
 		x.State = Writing
-	case x.State == Writing && event == RequestWritten:
+	case x.isWriting() && event == RequestWritten:
 		x.State = AwaitingResponse
 	case event == OtherResponse && x.State >= Writing && x.State <= AwaitingResponse:
 		if x.otherResponses++; x.otherResponses >= maxOtherResponses {
 			return x.abort(ConnectionBroken)
 		}
-	case event == GarbageReceived && x.State == Writing: // the peer has responded to a part of the request
+	case event == GarbageReceived && x.isWriting(): // the peer has responded to a part of the request
 		return x.finish(ConnectionFailed)
 	case event == ResponseStarted && x.State >= Writing && x.State <= AwaitingResponse:
-		x.unusable = x.unusable || x.State == Writing // it is unknown how much of the request the peer will read
+		x.unusable = x.unusable || x.isWriting() // it is unknown how much of the request the peer will read
 		x.State = ReadingResponse
 	case x.State == ReadingResponse && event == ResponseCompleted:
 		x.State, x.Outcome = Done, Completed
@@ -114,7 +119,7 @@
 		return x
 	case event == RequestCanceled:
 		return x.finish(Canceled)
-	case x.State < AwaitingResponse && (x.State != Writing || x.otherResponses == 0):
+	case x.cannotHaveBegun():
 		return x.finish(NotWritten)
 	case event == DeadlineExceeded:
 		return x.finish(TimedOut)
@@ -122,6 +127,21 @@
 	return x.finish(ConnectionFailed)
 }
 
+// isWriting reports whether the request was written in part, as far as is known.
+func (x Exchange) isWriting() bool { return x.State == Writing || x.State == WritingBody }
+
+// cannotHaveBegun reports whether the execution of the request cannot have begun. A response to another request is no proof that the
+// server has not read this one.
+func (x Exchange) cannotHaveBegun() bool {
+	switch x.State {
+	case Idle, AwaitingContinue:
+		return true
+	case Writing:
+		return x.otherResponses == 0
+	}
+	return false
+}
+
 // finish returns the exchange with an outcome other than Completed: its connection is not used again.
 func (x Exchange) finish(outcome Outcome) Exchange {
 	x.State, x.Outcome, x.unusable = Done, outcome, true
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -20,6 +20,15 @@
 		"partly written, broken":                       {[]Event{WriteStarted, ConnectionBroken}, NotWritten, true, false},
 		"partly written, deadline":                     {[]Event{WriteStarted, DeadlineExceeded}, NotWritten, true, false},
 		"partly written, canceled":                     {[]Event{WriteStarted, RequestCanceled}, Canceled, true, false},
+		"head written, broken":                         {[]Event{WriteStarted, HeadWritten, ConnectionBroken}, ConnectionFailed, true, false},
+		"head written, deadline":                       {[]Event{WriteStarted, HeadWritten, DeadlineExceeded}, TimedOut, true, false},
+		"head written, canceled":                       {[]Event{WriteStarted, HeadWritten, RequestCanceled}, Canceled, true, false},
+		"head written, garbage":                        {[]Event{WriteStarted, HeadWritten, GarbageReceived}, ConnectionFailed, true, false},
+		"head written, response":                       {[]Event{WriteStarted, HeadWritten, ResponseStarted, ResponseCompleted}, Completed, true, false},
+		"head written, response, broken":               {[]Event{WriteStarted, HeadWritten, ResponseStarted, ConnectionBroken}, ConnectionFailed, true, false},
+		"head written, other response, deadline":       {[]Event{WriteStarted, HeadWritten, OtherResponse, DeadlineExceeded}, TimedOut, true, false},
+		"head written, then asked for 100 Continue":    {[]Event{WriteStarted, HeadWritten, ContinueRequested}, ConnectionFailed, true, false},
+		"head written, then all":                       {[]Event{WriteStarted, HeadWritten, RequestWritten, ResponseStarted, ResponseCompleted}, Completed, true, true},
 		"100 Continue never received":                  {[]Event{WriteStarted, ContinueRequested, DeadlineExceeded}, NotWritten, true, false},
 		"broken before 100 Continue":                   {[]Event{WriteStarted, ContinueRequested, ConnectionBroken}, NotWritten, true, false},
 		"response instead of 100 Continue":             {[]Event{WriteStarted, ContinueRequested, ResponseStarted, ResponseCompleted}, Completed, true, true},
@@ -51,7 +60,7 @@
 	}
 }
 
-// For any sequence of events: a request that was written completely never counts as NotWritten, an outcome never changes, and
+// For any sequence of events: a request that its server may have begun never counts as NotWritten, an outcome never changes, and
 // a connection on which anything but complete responses to its own requests was received is not reused.
 func TestExchangeInvariants(t *testing.T) {
 	r := rand.New(rand.NewPCG(55, 5))
@@ -62,13 +71,13 @@
 			event := Event(r.IntN(int(UnexpectedBytes) + 1))
 			before := x
 			x = x.Next(event)
-			written = written || before.State != Done && x.State == AwaitingResponse
+			written = written || before.State != Done && (x.State == AwaitingResponse || x.State == WritingBody)
 			reusable = reusable && event != UnexpectedBytes && event != PeerClosing && event != ConnectionBroken && event != DeadlineExceeded
 			if before.State == Done && (x.State != Done || x.Outcome != before.Outcome) {
 				t.Fatalf("%+v is %+v after %d", before, x, event)
 			}
 			if written && x.State == Done && x.Outcome == NotWritten {
-				t.Fatalf("%+v was written completely, and is %+v after %d", before, x, event)
+				t.Fatalf("%+v may have begun, and is %+v after %d", before, x, event)
 			}
 			if event == OtherResponse && before.State >= Writing && before.State <= AwaitingResponse && !x.SawOtherResponse() {
 				t.Fatalf("%+v does not report the response to another request", x)
--- a/internal/fakeserver/misbehaving.go
+++ b/internal/fakeserver/misbehaving.go
@@ -143,22 +143,26 @@
 		return false
 	}
 	id := q.Header.Get("X-Attempt-Id")
-	target := q.Header.Get("X-Target-Instance")
-	switch instance := c.server.Instance; {
+	switch {
 	case q.URL.Path == "/health":
-		c.send(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Responding-Instance: %s\r\nContent-Length: 0\r\n\r\n", instance))
+		c.send(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Responding-Instance: %s\r\nContent-Length: 0\r\n\r\n", c.server.Instance))
 		return true
 	case m.CutInRequest > 0: // the whole body was read: it fails while it executes the request
 		c.server.Answers.RecordExecution(id, rules.Response{})
 		c.close(m.CloseMode)
 		return false
-	case instance != "" && target != instance:
+	case !c.server.serves(q):
 		c.send(fmt.Appendf(nil, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id))
 		return !m.EarlyResponse
 	}
 	return c.respond(q, id, n, &m)
 }
 
+// serves reports whether a request is for this instance.
+func (s *MisbehavingServer) serves(q *http.Request) bool {
+	return s.Instance == "" || q.Header.Get("X-Target-Instance") == s.Instance
+}
+
 // receive reads the body of a request as the misbehavior says. It returns false if the connection has ended.
 func (c *misbehavingConn) receive(q *http.Request, m *Misbehavior) bool {
 	if m.SpareContinue {
@@ -166,6 +170,9 @@
 	}
 	if m.CutInRequest > 0 {
 		if n, err := io.CopyN(io.Discard, q.Body, int64(m.CutInRequest)); n == int64(m.CutInRequest) && err == nil {
+			if m.BeginsEarly && c.server.serves(q) {
+				c.server.Answers.RecordExecution(q.Header.Get("X-Attempt-Id"), rules.Response{})
+			}
 			c.close(m.CloseMode)
 			return false
 		}
--- a/internal/fakeserver/misbehavior.go
+++ b/internal/fakeserver/misbehavior.go
@@ -70,6 +70,7 @@
 	ClaimsNotExecuted bool // a success says that the request was not executed
 	CloseAfter        bool // the response says that the connection ends, and it does
 	CutInRequest      int  // bytes of the body that are read before the connection ends; 0 for all
+	BeginsEarly       bool // with CutInRequest, it begins to execute the request before it has read more of the body
 	CutInResponse     int  // bytes of the response that are written before the connection ends; -1 for all
 	CloseMode         CloseMode
 	Extra             ExtraMessage
@@ -125,6 +126,7 @@
 	if oneIn(12) {
 		m.omitLength()
 	}
+	m.BeginsEarly = m.CutInRequest > 0 && oneIn(2)
 	return m
 }
 
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -87,6 +88,17 @@
 	return c.exchange.Reusable()
 }
 
+// writeBuffered writes a head and a short body to a server that may begin before it has the body, and records when it may.
+func (c *conn) writeBuffered(head *bytes.Buffer, body []byte) error {
+	headLength := head.Len()
+	head.Write(body)
+	n, err := c.Write(head.Bytes())
+	if n >= headLength {
+		c.apply(exchange.HeadWritten)
+	}
+	return err
+}
+
 // isOpen checks, without blocking, that the peer has neither closed an idle connection nor sent anything.
 func isOpen(c net.Conn) bool {
 	raw, err := c.(*net.TCPConn).SyscallConn()
--- a/internal/sidecar/expectcontinue_test.go
+++ b/internal/sidecar/expectcontinue_test.go
@@ -39,7 +39,7 @@
 	pool.SetServer(port.Addr().String(), 1)
 	request := &Exchange{
 		Head: func(time.Duration) []byte { return []byte("POST / HTTP/1.1\r\nHost: a\r\n") },
-		Body: []byte(strings.Repeat("x", 200_000)), MaxReplyBytes: 1 << 20, ContinueTimeout: time.Minute,
+		Body: []byte(strings.Repeat("x", 200_000)), PeerIsProxy: true, MaxReplyBytes: 1 << 20, ContinueTimeout: time.Minute,
 	}
 	for i := range 6 {
 		port.frontend.clients.mu.Lock()
--- a/internal/sidecar/httprequest.go
+++ b/internal/sidecar/httprequest.go
@@ -57,9 +57,6 @@
 func (u *upstream) sendHTTP1(a *attempt, c *conn, request *httpRequest, deadline time.Time) (balancer.Outcome, *response, bool) {
 	_ = c.SetDeadline(deadline) // fails on a closed connection only, which the write reports
 	head := request.encodeHead(a, deadline)
-	if request.upload == nil {
-		head.Write(request.body)
-	}
 	if !a.mayWrite() {
 		c.apply(exchange.RequestCanceled)
 		return balancer.Canceled, nil, c.exchange.Reusable()
@@ -73,7 +70,7 @@
 		}
 	} else {
 		c.apply(exchange.WriteStarted)
-		if _, err := c.Write(head.Bytes()); err != nil {
+		if err := c.writeBuffered(head, request.body); err != nil {
 			return c.fail(a, err)
 		}
 	}
@@ -119,9 +116,9 @@
 		return balancer.NotSent, c.exchange.Reusable(), true
 	}
 	c.apply(exchange.WriteStarted)
-	err := up.send(head.Bytes(), request.body, c)
+	err := up.send(head.Bytes(), request.body, c, func() { c.apply(exchange.HeadWritten) })
 	if up.err != nil {
-		c.apply(exchange.RequestCanceled) // an error of the client; a request that was sent in part is not executed
+		c.apply(exchange.RequestCanceled) // an error of the client, which gets no response
 		return balancer.Canceled, false, true
 	}
 	if err != nil {
--- a/internal/sidecar/port.go
+++ b/internal/sidecar/port.go
@@ -145,7 +145,8 @@
 	}}
 }
 
-// toResponse converts the reply to a response of the frontend. The method is that of the request, or "" if this response is not written to a client.
+// toResponse converts the reply to a response of the frontend. The method is that of the request, or "" if this response is not
+// written to a client.
 func (r *Reply) toResponse(method string) *response {
 	resp := &response{status: r.Status, header: r.Header, body: r.Body, retryAfter: r.RetryAfter}
 	if method == http.MethodHead || hasNoBody(r.Status) {
--- a/internal/sidecar/randommisbehavior_test.go
+++ b/internal/sidecar/randommisbehavior_test.go
@@ -47,6 +47,9 @@
 					time.AfterFunc(time.Duration(r.IntN(2000))*time.Microsecond, cancel)
 				}
 				body := []int{0, 20, 20, 3000, 200_000}[r.IntN(5)]
+				if r.IntN(50) == 0 {
+					body = 6 << 20 // more than the buffers of a connection hold
+				}
 				requests.Add(1)
 				if sendWithRetries(ctx, pool, checker, fmt.Sprintf("%d-%d", client, n), body, 40*time.Millisecond) {
 					served.Add(1)
--- a/internal/sidecar/roundtrip.go
+++ b/internal/sidecar/roundtrip.go
@@ -19,16 +19,18 @@
 	OmitLength    bool   // an empty body is sent without Content-Length
 	IsHead        bool   // the method is HEAD: the response has no body, whatever length it announces
 	ID            string // required in X-Attempt-Id of the response; see exchange.ResponseMatches
-	PeerIsProxy   bool   // the server is a proxy of the mesh: it responds in order and may omit the id
+	PeerIsProxy   bool   // the server is a proxy of the mesh: it reads the whole request first, responds in order and may omit the id
 	MaxReplyBytes int64  // limit of the response body
 
-	// ContinueTimeout is how long to wait for a 100 Continue. Until it arrives, the body is not sent and the request cannot have been
-	// executed. With 0 or an empty body, the request is sent at once.
+	// ContinueTimeout is how long to wait for a 100 Continue of a proxy. Until it arrives, the body is not sent and the request cannot
+	// have been executed. With 0, an empty body or another server, the request is sent at once.
 	ContinueTimeout time.Duration
 }
 
 // awaitsContinue reports whether the body is sent only after a 100 Continue.
-func (ex *Exchange) awaitsContinue() bool { return ex.ContinueTimeout > 0 && len(ex.Body) > 0 }
+func (ex *Exchange) awaitsContinue() bool {
+	return ex.PeerIsProxy && ex.ContinueTimeout > 0 && len(ex.Body) > 0
+}
 
 // interruptedAt is a deadline in the past, which interrupts reads and writes at once.
 var interruptedAt = time.Unix(1, 0)
@@ -81,7 +83,7 @@
 		if continueBy := time.Now().Add(ex.ContinueTimeout); continueBy.Before(deadline) {
 			c.setReadDeadline(a, continueBy)
 		}
-	} else if err := writeHeadAndBody(c, head, ex.Body); err == nil {
+	} else if err := ex.write(c, head); err == nil {
 		u.recordWritten(c)
 	} else if !mayHaveResponded(a, err) {
 		c.applyError(a, err)
@@ -135,7 +137,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
-		wasWriting := c.exchange.State == exchange.Writing
+		wasWriting := c.exchange.State < exchange.AwaitingContinue
 		reply, err := u.receiveOne(a, c, ex, deadline)
 		switch {
 		case err != nil && wasWriting:
@@ -204,25 +206,30 @@
 	return &Reply{Status: status, Header: endToEnd(m.header), Body: body, AfterOtherResponse: c.exchange.SawOtherResponse()}, nil
 }
 
-// mayEndWithConnection reports whether the end of the connection can complete a response without a length. A proxy of the mesh always
-// announces a length. After a write that failed, a reset can no longer be told from an end of the stream: the write has consumed it.
-func (ex *Exchange) mayEndWithConnection(c *conn) bool {
-	return !ex.PeerIsProxy && c.exchange.State != exchange.Writing
-}
-
-// writeHeadAndBody writes a head and a body, in one write if the body is short.
-func writeHeadAndBody(c *conn, head *bytes.Buffer, body []byte) error {
-	if len(body) < maxBufferedBody {
-		head.Write(body)
-		body = nil
+// write writes a head and the body, in one write if the body is short. It records when the server may begin.
+func (ex *Exchange) write(c *conn, head *bytes.Buffer) error {
+	first, rest := ex.Body, []byte(nil)
+	if len(ex.Body) >= maxBufferedBody {
+		first, rest = nil, ex.Body
 	}
-	_, err := c.Write(head.Bytes())
-	if err == nil && len(body) > 0 {
-		_, err = c.Write(body)
+	headLength := head.Len()
+	head.Write(first)
+	n, err := c.Write(head.Bytes())
+	if n >= headLength && !ex.PeerIsProxy {
+		c.apply(exchange.HeadWritten)
+	}
+	if err == nil && len(rest) > 0 {
+		_, err = c.Write(rest)
 	}
 	return err
 }
 
+// mayEndWithConnection reports whether the end of the connection can complete a response without a length. A proxy of the mesh always
+// announces a length. After a write that failed, a reset can no longer be told from an end of the stream: the write has consumed it.
+func (ex *Exchange) mayEndWithConnection(c *conn) bool {
+	return !ex.PeerIsProxy && c.exchange.State >= exchange.AwaitingResponse
+}
+
 // WriteLine writes one header line. Line breaks in the value are replaced by spaces.
 func WriteLine(b *bytes.Buffer, name, value string) {
 	writeHeader(b, http.Header{name: {value}}, "")
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -109,8 +109,8 @@
 }
 
 // send writes a head and the body to a server. It returns an error if the body was not forwarded to its end; an error of reading
-// from the client is also stored in up.err.
-func (up *uploadStream) send(head []byte, first []byte, server io.Writer) (err error) {
+// from the client is also stored in up.err. OnHeadWritten is called once the server may have the head.
+func (up *uploadStream) send(head []byte, first []byte, server io.Writer, onHeadWritten func()) (err error) {
 	defer func() {
 		up.isComplete, up.endedAt = err == nil && up.err == nil, time.Now()
 		close(up.done)
@@ -118,6 +118,7 @@
 	if _, err := server.Write(head); err != nil {
 		return err
 	}
+	onHeadWritten()
 	body := server
 	if up.length == lengthChunked {
 		body = &chunkWriter{server}
