proxy: a late heartbeat neither revives an instance nor replaces one

What callers saw: an endpoint deregistered and was acknowledged as gone; its proxy was killed and started again, and one heartbeat from before came 2.5 s late.

Cause: that an instance has ended was known in one process's memory. A new process took the first heartbeat it heard at its word. In the other order, a late heartbeat of the instance before made a restarted proxy take the live one for ended, for good.

Change: a heartbeat says that an instance serves only for the instance that this process knows as the present one. Another one waits until the endpoint's health check passes in its name; that check names the instance at the address and fails once it is leaving. Draining and the end count at once. 64 ended instances are remembered, 64 heartbeat sequences, and no more. Why it works: nothing has to survive the process, and neither control planes nor peers are asked, so that all of them may restart.

Failed tries: none of other designs; records of the earlier process were considered and not used, as a record that was not sent before the kill is lost, and a new record replaces it everywhere.

--- a/internal/mesh/admission/controller.go
+++ b/internal/mesh/admission/controller.go
@@ -77,7 +77,7 @@
 	limits           Limits
 	state            State
 	instanceID       string
-	endedInstances   map[string]bool // ids of instances that have ended
+	ended            endedInstances
 	capacity         int
 	guessedCapacity  int // until the endpoint reports its capacity
 	warmAt           time.Time
@@ -97,7 +97,7 @@
 
 // New returns a controller without an instance.
 func New(limits Limits) *Controller {
-	return &Controller{limits: limits, endedInstances: map[string]bool{}}
+	return &Controller{limits: limits}
 }
 
 // SetLimits replaces the limits.
@@ -124,15 +124,15 @@
 func (c *Controller) SetState(now time.Time, instanceID string, to State) bool {
 	isNew := instanceID != c.instanceID
 	switch {
-	case c.endedInstances[instanceID] && to != Gone:
+	case c.ended.contains(instanceID) && to != Gone:
 		return false
 	case instanceID != c.instanceID:
 		if to == Gone {
-			c.endedInstances[instanceID] = true
+			c.ended.add(instanceID)
 			return false
 		}
 		if c.instanceID != "" {
-			c.endedInstances[c.instanceID] = true
+			c.ended.add(c.instanceID)
 		}
 		c.instanceID, c.warmAt, c.warmupUncertain, c.capacity = instanceID, time.Time{}, false, 0
 	case to == c.state:
@@ -148,7 +148,7 @@
 			c.closeAt = now.Add(time.Duration(drainFraction * float64(c.limits.Drain)))
 		}
 	case Gone:
-		c.endedInstances[instanceID] = true
+		c.ended.add(instanceID)
 	}
 	return true
 }
--- a/internal/mesh/proxy/healthcheck.go
+++ b/internal/mesh/proxy/healthcheck.go
@@ -10,13 +10,14 @@
 	"milletmast/internal/sidecar"
 )
 
-// checkHealth probes an endpoint whose state is unknown or that does not respond.
+// checkHealth probes an endpoint whose state is unknown, that does not respond, or that awaits confirmation.
 func (ep *inboundEndpoint) checkHealth() {
 	ep.mu.Lock()
 	state, _ := ep.controller.State()
 	warm := ep.controller.WarmupLeft(time.Now()) == 0
+	isUnconfirmed := ep.isAwaitingConfirmation()
 	ep.mu.Unlock()
-	if state == admission.Unknown || state == admission.Down {
+	if state == admission.Unknown || state == admission.Down || isUnconfirmed {
 		ep.probe()
 	}
 	if e := ep.proxy.record.Endpoint; e != nil && e.WarmupLeft > 0 && warm {
@@ -65,8 +66,11 @@
 		}
 	case outcome == exchange.Completed && r.Header.Get(instanceHeader) != "":
 		id := r.Header.Get(instanceHeader)
-		if r.Status == http.StatusOK && (state == admission.Unknown || state == admission.Down || id != instanceID) {
-			changed = ep.setState(id, admission.Serving)
+		switch {
+		case r.Status == http.StatusOK:
+			changed = ep.applyHealthy(id)
+		case id != instanceID && state == admission.Serving: // the present instance is not at the address any more
+			changed = ep.setState(instanceID, admission.Gone)
 		}
 		if _, now := ep.controller.State(); now == id {
 			if ep.service == "" {
@@ -87,6 +91,16 @@
 	}
 }
 
+// applyHealthy applies a passed health check of an instance. ep.mu is held.
+func (ep *inboundEndpoint) applyHealthy(id string) (changed bool) {
+	state, current := ep.controller.State()
+	if id == current && state != admission.Unknown && state != admission.Down {
+		ep.unconfirmed = nil // the present instance is at the address, and no other
+		return false
+	}
+	return ep.confirm(id)
+}
+
 // Bounds of the number that an endpoint reports as its remaining warm-up time.
 var (
 	maxWarmupSeconds = decimal.FromInt(int64(maxWarmup / time.Second)) // above it, the number is in milliseconds
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -33,8 +33,11 @@
 	queued             map[*admission.Ticket]chan admission.Decision // each receives the outcome of a queued request
 	timer              *time.Timer                                   // runs processQueue when a queued request is due
 	probePath          string                                        // of the health check
-	heartbeatSequences map[string]uint64                             // by instance, the sequence of its last heartbeat
-	connectFailures    int                                           // requests in a row that could not be sent to the endpoint
+	hasConfig          bool                                          // probePath is known
+	heartbeatSequences heartbeatSequences
+	unconfirmed        *controlapi.Heartbeat // the last one of an instance that no health check has confirmed; nil for none
+	unconfirmedAt      time.Time             // when it was received
+	connectFailures    int                   // requests in a row that could not be sent to the endpoint
 	probing            bool
 	lastProbe          time.Time
 	instanceCount      float64 // number of instances seen: the incarnation of the server in pool
@@ -44,7 +47,7 @@
 }
 
 func newInboundEndpoint(p *Proxy) *inboundEndpoint {
-	ep := &inboundEndpoint{proxy: p, queued: map[*admission.Ticket]chan admission.Decision{}, heartbeatSequences: map[string]uint64{}}
+	ep := &inboundEndpoint{proxy: p, queued: map[*admission.Ticket]chan admission.Decision{}, heartbeatSequences: heartbeatSequences{}}
 	ep.controller = admission.New(ep.limits(nil))
 	ep.pool = sidecar.NewSingleServerPool(p.settings.Descriptors/4, poolIdleTimeout)
 	ep.timer = time.AfterFunc(time.Hour, ep.processQueue)
@@ -69,10 +72,13 @@
 	ep.controller.SetLimits(ep.limits(c))
 	ep.controller.SetEvacuation(order.Version.Number, order.Active)
 	evacuated := ep.controller.IsEvacuated()
+	changed := false
 	if c != nil {
+		ep.hasConfig = true
 		if s := c.Services[ep.proxy.serviceName()]; s != nil {
 			ep.probePath = s.ProbePath
 		}
+		changed = ep.confirmWithoutHealthCheck()
 	}
 	if ep.wasEvacuated && !evacuated {
 		ep.lastProbe = time.Time{}
@@ -84,6 +90,9 @@
 	if state == admission.Unknown || !evacuated {
 		ep.probe()
 	}
+	if changed {
+		ep.publishRecord()
+	}
 }
 
 // applyEjection treats the endpoint as warming up once it has returned from an ejection.
@@ -99,34 +108,52 @@
 }
 
 // heartbeat applies a heartbeat of the endpoint. It is acknowledged once admission control has
-// applied it.
+// applied it. A heartbeat of another instance than the present one that says that it serves waits for
+// a health check, see unconfirmed.go.
 func (ep *inboundEndpoint) heartbeat(h *controlapi.Heartbeat) {
-	e := h.Endpoint
 	ep.mu.Lock()
-	if last, ok := ep.heartbeatSequences[e.ID]; ok && h.Sequence < last {
+	_, current := ep.controller.State()
+	if !ep.heartbeatSequences.advance(h, current) {
 		ep.mu.Unlock()
 		return // a late heartbeat
 	}
-	if len(ep.heartbeatSequences) > 64 {
-		clear(ep.heartbeatSequences)
-	}
-	ep.heartbeatSequences[e.ID] = h.Sequence
-	state := admission.Serving
-	if e.State == registry.Draining {
-		state = admission.Draining
-	}
-	changed := ep.setState(e.ID, state)
-	if _, current := ep.controller.State(); current == e.ID {
-		before := ep.controller.WarmupLeft(time.Now())
-		changed = changed || e.WarmupLeft > before+tickInterval || ep.controller.Capacity() != e.Capacity
-		ep.controller.Report(time.Now(), e.Capacity, e.WarmupLeft)
-		ep.service = e.Target
+	var changed bool
+	switch {
+	case h.Endpoint.ID == current:
+		changed = ep.applyHeartbeat(h)
+	case h.Endpoint.State == registry.Draining:
+		changed = ep.applyOtherDraining(h)
+	default:
+		ep.awaitConfirmation(h)
+		changed = ep.confirmWithoutHealthCheck()
 	}
+	isUnconfirmed := ep.isAwaitingConfirmation()
 	ep.mu.Unlock()
 	ep.processQueue()
 	if changed {
 		ep.publishRecord()
 	}
+	if isUnconfirmed {
+		ep.probe()
+	}
+}
+
+// applyHeartbeat applies a heartbeat of the present instance, or of one that becomes the present one. ep.mu is held.
+func (ep *inboundEndpoint) applyHeartbeat(h *controlapi.Heartbeat) (changed bool) {
+	e := &h.Endpoint
+	state := admission.Serving
+	if e.State == registry.Draining {
+		state = admission.Draining
+	}
+	changed = ep.setState(e.ID, state)
+	if _, current := ep.controller.State(); current != e.ID {
+		return changed
+	}
+	before := ep.controller.WarmupLeft(time.Now())
+	changed = changed || e.WarmupLeft > before+tickInterval || ep.controller.Capacity() != e.Capacity
+	ep.controller.Report(time.Now(), e.Capacity, e.WarmupLeft)
+	ep.service = e.Target
+	return changed
 }
 
 // setState changes the state of an instance, and connects to a new one. ep.mu is held.
@@ -148,6 +175,7 @@
 func (ep *inboundEndpoint) deregister(id string) {
 	ep.mu.Lock()
 	changed := ep.setState(id, admission.Gone)
+	ep.dropUnconfirmed(id)
 	ep.mu.Unlock()
 	ep.processQueue()
 	if changed {
--- a/internal/mesh/proxy/path_test.go
+++ b/internal/mesh/proxy/path_test.go
@@ -109,9 +109,10 @@
 	misbehaving *fakeserver.MisbehavingServer
 	seq         int
 
-	mu   sync.Mutex
-	seen []http.Header
-	do   func(w http.ResponseWriter, r *http.Request, body []byte) // nil for a successful response
+	mu      sync.Mutex
+	leaving bool // its health check fails
+	seen    []http.Header
+	do      func(w http.ResponseWriter, r *http.Request, body []byte) // nil for a successful response
 }
 
 // start starts a proxy with an endpoint beside it.
@@ -151,6 +152,11 @@
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set(instanceHeader, e.id)
 	if r.URL.Path == "/health" {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	w.Header().Set(idHeader, r.Header.Get(idHeader))
