--- a/internal/mesh/meshconfig/config.go
+++ b/internal/mesh/meshconfig/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,6 +51,11 @@
 	Affinity                affinity.KeySource // how to identify a client that is assigned to one endpoint; the zero value for none
 }
 
+// HasTarget reports whether the route sends requests to a service.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(target WeightedTarget) bool { return target.Service == service })
+}
+
 // Service is the configuration of the endpoints of a service.
 type Service struct {
 	Name, ProbePath string
--- a/internal/mesh/proxy/config.go
+++ b/internal/mesh/proxy/config.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"time"
 
 	"milletmast/internal/mesh/discovery"
@@ -39,22 +40,42 @@
 		p.log.Error().Err(err).Uint64("version", version).Msg("reject configuration")
 		return
 	}
+	services, err := p.applyModules(c)
+	if err != nil {
+		p.log.Error().Err(err).Uint64("version", version).Msg("keep configuration in use")
+		return
+	}
+	first := p.routing.Load().config == nil
+	p.routing.Store(&routing{config: c, services: services})
+	if first {
+		close(p.configured)
+	}
+	p.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("apply configuration")
+}
+
+// applyModules builds the decision modules that a configuration needs, and puts them into use once all of them are built. After an error
+// everything is as before. It returns the services of the configuration.
+func (p *Proxy) applyModules(c *meshconfig.Config) (map[string]*upstreamService, error) {
 	services := make(map[string]*upstreamService, len(c.Services))
+	var changes []moduleChange
 	for name := range c.Services {
 		service := p.services[name]
 		if service == nil {
 			service = newUpstreamService(p, name)
-			p.services[name] = service
 		}
-		service.configure(c)
+		prepared, err := service.prepare(c, p.routing.Load().config)
+		if err != nil {
+			discardModules(p, changes)
+			return nil, err
+		}
+		changes = append(changes, prepared...)
 		services[name] = service
 	}
-	first := p.routing.Load().config == nil
-	p.routing.Store(&routing{config: c, services: services})
-	if first {
-		close(p.configured)
+	for i := range changes {
+		changes[i].apply()
 	}
-	p.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("apply configuration")
+	maps.Copy(p.services, services)
+	return services, nil
 }
 
 // avoid keeps requests away from an instance for avoidTime, because its proxy rejected one.
--- a/internal/mesh/proxy/outboundrequest.go
+++ b/internal/mesh/proxy/outboundrequest.go
@@ -43,7 +43,7 @@
 		service:   u,
 		request:   req,
 		route:     route,
-		queueTime: max(time.Duration(queueTimeFraction*float64(route.TargetLatency)), minQueueTime),
+		queueTime: min(max(time.Duration(queueTimeFraction*float64(route.TargetLatency)), minQueueTime), max(deadline.Sub(now), 0)),
 	}
 	id := req.Header.Get(idHeader)
 	u.proxy.recordReceived(id, route, u.name)
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -28,8 +28,12 @@
 
 var space = errorx.NewNamespace("proxy")
 
-// Start is the type of errors that keep a proxy from starting.
-var Start = space.NewType("start")
+var (
+	// Start is the type of errors that keep a proxy from starting.
+	Start = space.NewType("start")
+	// Apply is the type of errors that keep a configuration from being applied.
+	Apply = space.NewType("apply_configuration")
+)
 
 const (
 	tickInterval    = 250 * time.Millisecond
@@ -65,7 +69,8 @@
 	routing       atomic.Pointer[routing]
 	configured    chan struct{}               // closed once there is a configuration
 	services      map[string]*upstreamService // by name
-	avoided       map[string]time.Time        // instances that get no requests until the given time, because their proxies rejected some
+	buildModule   moduleBuilder
+	avoided       map[string]time.Time // instances that get no requests until the given time, because their proxies rejected some
 	inbound       *inboundEndpoint
 	observer      *callObserver
 	events        *eventlog.Recorder
@@ -100,6 +105,7 @@
 	p := &Proxy{
 		settings: settings, log: log, loop: process.NewLoop(512), state: discovery.NewClientState(time.Now(), clientLimits(settings)),
 		configured: make(chan struct{}), services: map[string]*upstreamService{}, avoided: map[string]time.Time{},
+		buildModule: sidecar.NewService,
 	}
 	p.routing.Store(&routing{})
 	p.localService.Store(&settings.Target)
