sidecar: a panic while a request is served fails that request alone

Change: a panic in a handler is answered 502, one in the reading of a connection closes it, one in an attempt counts as an attempt that may have been executed. After a panic in an event loop its decision module is replaced by one with the same settings and servers that has learned nothing: requests with an open attempt get its response, those that waited are answered. Each is logged with its stack and counted. Functions that wait for the loop return after a panic too.

Left: the place of a connection in the count of connections is lost when an attempt panics in the middle of its exchange.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -41,6 +41,7 @@
 	attempts        []*attempt
 	serverFailure   *response // the latest failure response of a server
 	timedOut        bool      // the latest attempt ended by its deadline
+	lostModule      bool      // the decision module that had it was replaced
 	tree            *treeCall // its part in a tree of calls over several tiers; nil for none
 	// Used by pools with levels of reduced service:
 	callerHash   uint64
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -62,7 +62,7 @@
 	l.attempts.Go(func() {
 		outcome, r := balancer.NotSent, (*response)(nil)
 		if e != nil {
-			outcome, r = c.sender().send(l.upstream, a, e, l.toTime(until))
+			outcome, r = l.sendRecovered(func() (balancer.Outcome, *response) { return c.sender().send(l.upstream, a, e, l.toTime(until)) })
 		}
 		took := c.sender().duration(sentAt)
 		l.post(func() { l.attemptEnded(c, number, server, outcome, r, took) })
@@ -104,6 +104,7 @@
 		Kind: balancer.EvAttemptEnded, Request: c.event.Request, Attempt: uint16(number), Server: server,
 		Outcome: o, Elapsed: inMillis(took), RequestEnded: c.ended, NotRepeatable: c.sender().isNotRepeatable() || c.attempts[number].final,
 	})
+	l.answerIfLost(c)
 	l.forget(c)
 }
 
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -46,6 +46,7 @@
 	isUsable     func() bool // whether there is a server to send requests to; nil if the frontend has no readiness check
 	clients      *clientConns
 	conns        sync.WaitGroup
+	panics       panicCount
 	draining     atomic.Bool   // reports that it is not ready any more
 	closing      atomic.Bool   // every response closes its connection
 	acceptTime   time.Duration // from SIGTERM until no new connection is accepted
@@ -91,7 +92,7 @@
 }
 
 // serve accepts connections until the listener is closed.
-func (f *frontend) serve(ln net.Listener) { f.clients.serve(ln, f.serveConn, &f.conns) }
+func (f *frontend) serve(ln net.Listener) { f.clients.serve(ln, f.serveConnRecovered, &f.conns) }
 
 // serveConn serves the requests of one connection, one after the other, until either side closes it.
 func (f *frontend) serveConn(c *clientConn) {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -21,6 +21,8 @@
 	start         time.Time
 	startMS       float64 // start as Unix time
 	balancer      *balancer.Balancer
+	seed          uint64 // of the decision module
+	panics        panicCount
 	actions       []balancer.Action // reused
 	posted        chan func()
 	stop          chan struct{}  // closed by the owner to end the loop
@@ -66,6 +68,7 @@
 		posted:     make(chan func(), postedQueueLength),
 		stop:       make(chan struct{}),
 		stopped:    make(chan struct{}),
+		seed:       cfg.Seed,
 		upstream:   up,
 		startWatch: func() {},
 		calls:      map[uint32]*call{},
@@ -115,7 +118,7 @@
 func (l *eventLoop) doContext(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
-	case l.posted <- func() { f(); close(done) }:
+	case l.posted <- func() { defer close(done); f() }:
 	case <-l.stopped:
 		return errLoopStopped
 	case <-ctx.Done():
@@ -167,11 +170,11 @@
 		case <-l.stop:
 			return
 		case f := <-l.posted:
-			f()
+			l.runRecovered(f)
 		case <-l.timer.C:
 			l.timerAt = math.Inf(1)
 		}
-		l.runDueTasks()
+		l.runRecovered(l.runDueTasks)
 		if len(l.timers) > 0 && l.timers[0].at < l.timerAt {
 			l.timerAt = l.timers[0].at
 			l.timer.Reset(time.Until(l.toTime(l.timerAt)))
--- a/internal/sidecar/port.go
+++ b/internal/sidecar/port.go
@@ -31,7 +31,7 @@
 	c.setReadDeadline(time.Time{})
 	f.clients.requestStarted(c)
 	f.conns.Go(func() {
-		r := t.serve(ctx, body)
+		r := f.serveRecovered(func() response { return t.serve(ctx, body) })
 		c.setReadDeadline(interruptedAt) // ends Peek; set before the response is written, or it could end the read of the next request
 		responded <- r
 	})
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -185,8 +185,8 @@
 	var check func()
 	check = func() {
 		if len(s.loop.calls) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			defer close(done)
 			s.loop.answerAll()
-			close(done)
 			return
 		}
 		time.AfterFunc(shutdownPollInterval, func() { s.loop.post(check) })
