--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,7 +4,8 @@
 //
 // Two rules depend on it. A request that may have been executed is sent again only if it is idempotent, so NotWritten must be
 // certain. A server may begin as soon as it has the head, so from then on nothing is, unless the server is a program of this
-// project, which reads the whole request first: for such a server HeadWritten is not reported. A connection carries another request only if no bytes on it can belong to an earlier one.
+// project, which reads the whole request first: for such a server HeadWritten is not reported. A connection carries another request
+// only if no bytes on it can belong to an earlier one.
 package exchange
 
 // Outcome is the result of an exchange that is done.
--- a/internal/mesh/proxy/modules.go
+++ b/internal/mesh/proxy/modules.go
@@ -28,7 +28,7 @@
 	defaultTargetLatency  = 500 * time.Millisecond
 	defaultDeadline       = 5 * time.Second        // of a route without one
 	targetLatencyFraction = 0.7                    // of the deadline: minimum of the target latency, as a late response is worth something too
-	minTargetLatency      = 100 * time.Millisecond // with a shorter one, endpoints at rest would count as overloaded, for all routes of the lane
+	minTargetLatency      = 100 * time.Millisecond // with less, endpoints at rest would count as overloaded, for the whole lane
 )
 
 // lane is a decision module and the classes that it was built for.
