--- a/internal/mesh/proxy/latebeat_test.go
+++ b/internal/mesh/proxy/latebeat_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -13,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"milletmast/internal/exchange"
-	"milletmast/internal/freeport"
 	"milletmast/internal/mesh/admission"
 	"milletmast/internal/mesh/controlapi"
 	"milletmast/internal/mesh/controlstate"
@@ -184,16 +182,7 @@
 // order: an instance whose leaving was acknowledged never serves again, and one that is well serves after its next heartbeat and health check.
 func TestLateHeartbeatsAtRandom(t *testing.T) {
 	const seeds, steps = 300, 200
-	m := &mesh{t: t, port: freeport.ForTest(t, portsPerMesh).First + portsBelowOwn}
-	settings := m.settings("late", "127.0.8.1")
-	settings.Target = "one"
-	proxy, err := New(settings, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, listener := range []io.Closer{proxy.controlListener, proxy.readinessListener, proxy.peerListener} {
-		defer listener.Close()
-	}
+	proxy := newIdleProxy(t)
 	for seed := range uint64(seeds) {
 		p := &latePlace{random: rand.New(rand.NewPCG(7, seed)), left: map[string]bool{}}
 		p.newInbound(proxy)
