proxy: routes of a lane, results of attempts and test proxies in one place each

Need: the same: routes of a lane were selected in two places, the judgment of a failed attempt stood twice, and tests started a proxy in three places. Comments in the terms of the field.

Change: laneRoutes, judge and runProxy; modules built before an error are returned with it and ended by the one caller. Nothing is decided otherwise.

--- a/internal/mesh/admission/ended.go
+++ b/internal/mesh/admission/ended.go
@@ -2,11 +2,11 @@
 
 import "slices"
 
-// maxEndedInstances is the number of ended instances that are remembered.
+// maxEndedInstances is the number of ended instances whose ids are kept.
 const maxEndedInstances = 64
 
-// endedInstances remembers the ids of the instances that ended last. What is older is forgotten: a report that such an instance serves
-// has to be confirmed by a health check, as one of any instance that is not known.
+// endedInstances holds the ids of the instances that ended last. Older ones may be dropped, as callers confirm by a health check that an
+// instance serves which is not the present one.
 type endedInstances struct{ ids []string } // the oldest is first
 
 func (e *endedInstances) add(id string) {
--- a/internal/mesh/proxy/config.go
+++ b/internal/mesh/proxy/config.go
@@ -64,11 +64,11 @@
 			service = newUpstreamService(p, name)
 		}
 		prepared, err := service.prepare(c, p.routing.Load().config)
+		changes = append(changes, prepared...)
 		if err != nil {
 			discardModules(p, changes)
 			return nil, err
 		}
-		changes = append(changes, prepared...)
 		services[name] = service
 	}
 	for i := range changes {
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -108,8 +108,8 @@
 }
 
 // heartbeat applies a heartbeat of the endpoint. It is acknowledged once admission control has
-// applied it. A heartbeat of another instance than the present one that says that it serves waits for
-// a health check, see unconfirmed.go.
+// applied it. A heartbeat by which another instance than the present one serves is applied once a
+// health check has passed, see unconfirmed.go.
 func (ep *inboundEndpoint) heartbeat(h *controlapi.Heartbeat) {
 	ep.mu.Lock()
 	_, current := ep.controller.State()
--- a/internal/mesh/proxy/latebeat_test.go
+++ b/internal/mesh/proxy/latebeat_test.go
@@ -1,16 +1,12 @@
 package proxy
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"milletmast/internal/exchange"
 	"milletmast/internal/mesh/admission"
 	"milletmast/internal/mesh/controlapi"
@@ -20,25 +16,16 @@
 	"milletmast/internal/sidecar"
 )
 
-// restartProxy stops the proxy beside an endpoint and starts another process of it, which knows nothing of what the first one has heard.
+// restartProxy stops the proxy beside an endpoint and starts another process of it, without the state of the first one.
 func (e *endpoint) restartProxy() {
 	e.m.t.Helper()
 	e.stop()
-	p, err := New(e.s, zerolog.Nop())
-	if err != nil {
-		e.m.t.Fatal(err)
-	}
-	e.proxy = p
-	ctx, stop := context.WithCancel(context.Background())
-	var ended sync.WaitGroup
-	ended.Go(func() { _ = p.Run(ctx) })
-	e.stop = func() { stop(); ended.Wait() }
-	e.m.t.Cleanup(e.stop)
+	e.runProxy(nil)
 	e.m.callUntilOK("GET", "http://"+e.s.Readiness+"/api/readiness", "")
 }
 
-// Guards against review/7 (DRAIN): a late heartbeat that a restarted proxy heard first made an instance serve again whose end an earlier
-// process had acknowledged. Its health check says that it is leaving.
+// Guards against review/7 (DRAIN): a late heartbeat that a restarted proxy received first made an instance serve again whose end an earlier
+// process had acknowledged. Its health check fails, as it is leaving.
 func TestLateHeartbeatAfterRestart(t *testing.T) {
 	m, from, to := startTwoProxies(t)
 	m.callUntilOK("POST", "http://"+to.s.Control+"/api/Endpoints.Deregister/"+to.id, "")
@@ -101,7 +88,7 @@
 	random    *rand.Rand
 	endpoint  *inboundEndpoint
 	current   int             // the instance at the address; 0 for none
-	isLeaving bool            // it has said so
+	isLeaving bool            // its health check fails
 	left      map[string]bool // instances whose leaving was acknowledged
 	lastSent  int             // the instance with the last id
 	sequence  uint64
@@ -154,7 +141,7 @@
 	case event == 1 && len(p.inTransit) > 0: // a late heartbeat
 		i := p.random.IntN(len(p.inTransit))
 		p.deliver(p.inTransit[i])
-	case event == 2 && p.current != 0: // leaves, with or without a word
+	case event == 2 && p.current != 0: // leaves, by a deregistration or a heartbeat
 		p.isLeaving = true
 		if id := fmt.Sprint("i-", p.current); p.random.IntN(2) == 0 {
 			p.endpoint.deregister(id)
--- a/internal/mesh/proxy/modules.go
+++ b/internal/mesh/proxy/modules.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -72,18 +73,29 @@
 
 // classesOf returns the classes of the routes of a service in one lane.
 func classesOf(config *meshconfig.Config, service string, laneIndex int) (classes []classKey) {
-	if config == nil {
-		return nil
-	}
-	for i := range config.Routes {
-		route := &config.Routes[i]
-		if key := classOf(route); route.HasTarget(service) && laneOf(route) == laneIndex && !slices.Contains(classes, key) {
+	for route := range laneRoutes(config, service, laneIndex) {
+		if key := classOf(route); !slices.Contains(classes, key) {
 			classes = append(classes, key)
 		}
 	}
 	return classes
 }
 
+// laneRoutes returns the routes to a service in one lane; none without a configuration.
+func laneRoutes(config *meshconfig.Config, service string, laneIndex int) iter.Seq[*meshconfig.Route] {
+	return func(yield func(*meshconfig.Route) bool) {
+		if config == nil {
+			return
+		}
+		for i := range config.Routes {
+			route := &config.Routes[i]
+			if route.HasTarget(service) && laneOf(route) == laneIndex && !yield(route) {
+				return
+			}
+		}
+	}
+}
+
 // moduleClass returns the settings of a class.
 func moduleClass(key classKey) balancer.Class {
 	class := balancer.Class{
@@ -134,7 +146,8 @@
 }
 
 // prepare builds the modules that the routes of a configuration need, and changes nothing. Classes that neither it nor the
-// configuration in use has are left out. An error names the service, and the classes that its module could not be built for.
+// configuration in use has are left out. An error names the service and the routes whose module could not be built; the modules that
+// were built before are returned with it.
 func (u *upstreamService) prepare(config, inUse *meshconfig.Config) (changes []moduleChange, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -152,8 +165,7 @@
 			}
 		}
 		if next.service, err = u.buildModule(present, next.classes); err != nil {
-			discardModules(u.proxy, changes)
-			return nil, Apply.Wrap(err, "service %s: routes %v", u.name, routesWith(config, u.name, laneIndex, isNew))
+			return changes, Apply.Wrap(err, "service %s: routes %v", u.name, routesWith(config, u.name, laneIndex, isNew))
 		}
 		changes = append(changes, moduleChange{upstream: u, laneIndex: laneIndex, next: next})
 	}
@@ -172,9 +184,8 @@
 
 // routesWith returns the names of the routes of a service in one lane whose classes match, with the fields that make the class.
 func routesWith(config *meshconfig.Config, service string, laneIndex int, matches func(classKey) bool) (names []string) {
-	for i := range config.Routes {
-		route := &config.Routes[i]
-		if route.HasTarget(service) && laneOf(route) == laneIndex && matches(classOf(route)) {
+	for route := range laneRoutes(config, service, laneIndex) {
+		if matches(classOf(route)) {
 			names = append(names, route.Name+" (target_latency_s, deadline_s, priority)")
 		}
 	}
--- a/internal/mesh/proxy/outboundrequest.go
+++ b/internal/mesh/proxy/outboundrequest.go
@@ -137,11 +137,7 @@
 		exchangeOutcome, response := attempt.RoundTrip(out.exchange(attempt.Server, plan))
 		switch exchangeOutcome {
 		case exchange.NotWritten:
-			if isTooShort {
-				return sidecar.AttemptResult{Outcome: balancer.NotSent}
-			}
-			out.service.proxy.observer.recordOutbound(out.service.name, attempt.Server, outlier.TimedOut)
-			return sidecar.AttemptResult{Outcome: balancer.ConnectFailed}
+			return out.judge(sidecar.AttemptResult{Outcome: balancer.ConnectFailed}, attempt.Server, isTooShort)
 		case exchange.Canceled:
 			return sidecar.AttemptResult{Outcome: balancer.Canceled}
 		case exchange.TimedOut:
@@ -151,21 +147,27 @@
 			response.Header.Del(outcomeHeader)
 		}
 	}
-	result := out.interpret(outcome, reply, attempt.Server)
+	result := out.judge(out.interpret(outcome, reply, attempt.Server), attempt.Server, isTooShort)
+	out.service.proxy.recordAttempt(out.request.Header.Get(idHeader), attempt, outcome, result.Outcome)
+	return result
+}
+
+// judge records what the result of an attempt shows of the endpoint, and returns the result for the decision module. A failure of an
+// attempt that was too short shows nothing.
+func (out *outboundRequest) judge(result sidecar.AttemptResult, instanceID string, isTooShort bool) sidecar.AttemptResult {
 	if isTooShort {
 		result.Outcome = withoutJudgment(result.Outcome)
 	}
-	out.service.proxy.recordAttempt(out.request.Header.Get(idHeader), attempt, outcome, result.Outcome)
-	out.recordResult(result, attempt.Server)
+	out.recordResult(result, instanceID)
 	return result
 }
 
-// minJudgedTime is the time of an attempt below which its failure says nothing about the endpoint. A route may allow less than any
+// minJudgedTime is the time of an attempt below which its failure shows nothing of the endpoint: a route may allow less time than any
 // endpoint needs.
 const minJudgedTime = 50 * time.Millisecond
 
-// withoutJudgment returns the outcome by which the decision module learns nothing about the endpoint from a failure in time. Whether the
-// request may have been executed is as before.
+// withoutJudgment replaces a failure in time by an outcome that does not count against the endpoint. Whether the request may have been
+// executed stays as it is.
 func withoutJudgment(outcome balancer.Outcome) balancer.Outcome {
 	switch outcome {
 	case balancer.Timeout:
--- a/internal/mesh/proxy/path_test.go
+++ b/internal/mesh/proxy/path_test.go
@@ -120,17 +120,7 @@
 	m.t.Helper()
 	e := &endpoint{m: m, s: m.settings(name, ip), id: "i-" + name}
 	e.s.Target = target
-	p, err := New(e.s, zerolog.Nop())
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	e.proxy = p
-	ctx, stop := context.WithCancel(context.Background())
-	m.t.Cleanup(stop)
-	var ended sync.WaitGroup
-	ended.Go(func() { _ = p.Run(ctx) })
-	e.stop = func() { stop(); ended.Wait() }
-	m.done.Go(ended.Wait)
+	stop := e.runProxy(nil)
 	ln, err := net.Listen("tcp", e.s.LocalApp)
 	if err != nil {
 		m.t.Fatal(err)
@@ -148,6 +138,27 @@
 	return e
 }
 
+// runProxy starts a process of the proxy beside the endpoint, and returns the function that tells it to end. Prepare may change the proxy
+// before; nil for no change.
+func (e *endpoint) runProxy(prepare func(*Proxy)) (stop func()) {
+	e.m.t.Helper()
+	p, err := New(e.s, zerolog.Nop())
+	if err != nil {
+		e.m.t.Fatal(err)
+	}
+	if prepare != nil {
+		prepare(p)
+	}
+	e.proxy = p
+	ctx, stop := context.WithCancel(context.Background())
+	e.m.t.Cleanup(stop)
+	var ended sync.WaitGroup
+	ended.Go(func() { _ = p.Run(ctx) })
+	e.stop = func() { stop(); ended.Wait() }
+	e.m.done.Go(ended.Wait)
+	return stop
+}
+
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set(instanceHeader, e.id)
@@ -516,16 +527,7 @@
 	to.mu.Lock()
 	to.id = "i-to-again"
 	to.mu.Unlock()
-	p, err := New(to.s, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.record.Incarnation = 1
-	ctx, stop := context.WithCancel(context.Background())
-	var ended sync.WaitGroup
-	ended.Go(func() { _ = p.Run(ctx) })
-	defer ended.Wait()
-	defer stop()
+	to.runProxy(func(p *Proxy) { p.record.Incarnation = 1 })
 	to.sendHeartbeat("serving")
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
 		if r, _ := from.send("GET", "/read/", "again", "", nil); r.StatusCode == http.StatusOK {
--- a/internal/mesh/proxy/shortdeadline_test.go
+++ b/internal/mesh/proxy/shortdeadline_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// A route whose deadline no endpoint can meet fails by itself: its requests say nothing about the endpoints, and other routes are served.
+// A route whose deadline no endpoint can meet fails by itself: its requests show nothing of the endpoints, and other routes are served.
 func TestShortDeadlineHarmsNoOtherRoute(t *testing.T) {
 	m, from, to := startTwoProxies(t)
 	m.callUntilOK("POST", "http://"+m.settings("core", coreIP).Control+"/api/Config.Replace",
--- a/internal/mesh/proxy/unconfirmed.go
+++ b/internal/mesh/proxy/unconfirmed.go
@@ -8,21 +8,21 @@
 	"milletmast/internal/mesh/controlapi"
 )
 
-// A heartbeat may arrive seconds late, and this process may not know what an earlier process of this proxy has acknowledged: that the
-// instance drains or has ended. So a heartbeat of an instance that this process does not know as the present one does not make it serve.
-// The health check of the endpoint does: it names the instance that is at the address, and fails once that instance is leaving. Whatever
-// this process and others have forgotten, no late heartbeat can revive an instance then, or replace a live one.
+// A heartbeat may arrive seconds late, and the state of this process does not include what an earlier process of this proxy has
+// acknowledged: that an instance drains or has ended. So a heartbeat of another instance than the present one does not make that instance
+// serve. The health check of the endpoint does: its response has the id of the instance at the address, and it fails once that instance
+// is leaving. A late heartbeat can then neither revive an instance nor replace a live one, with no state that outlives a process.
 
 const (
-	maxHeartbeatSequences = 64              // instances whose last heartbeats are remembered
+	maxHeartbeatSequences = 64              // instances whose last sequences are kept
 	unconfirmedTimeout    = 5 * time.Second // after the last heartbeat of an instance that no health check has confirmed
 )
 
 // heartbeatSequences holds the sequence of the last heartbeat of each instance.
 type heartbeatSequences map[string]uint64
 
-// advance records a heartbeat. It returns false if a later one of its instance was received before. At the limit only the present
-// instance is remembered.
+// advance records a heartbeat. It returns false if a later one of its instance was received before. At the limit only that of
+// the present instance is kept.
 func (s heartbeatSequences) advance(h *controlapi.Heartbeat, current string) bool {
 	if last, ok := s[h.Endpoint.ID]; ok && h.Sequence < last {
 		return false
@@ -34,7 +34,7 @@
 	return true
 }
 
-// awaitConfirmation remembers a heartbeat until a health check confirms its instance. ep.mu is held.
+// awaitConfirmation keeps a heartbeat until a health check confirms its instance. ep.mu is held.
 func (ep *inboundEndpoint) awaitConfirmation(h *controlapi.Heartbeat) {
 	if ep.unconfirmed == nil || ep.unconfirmed.Endpoint.ID != h.Endpoint.ID {
 		ep.proxy.log.Info().Str("endpoint", h.Endpoint.ID).Msg("await health check of endpoint")
@@ -42,7 +42,7 @@
 	ep.unconfirmed, ep.unconfirmedAt = h, time.Now()
 }
 
-// isAwaitingConfirmation reports whether an instance awaits confirmation. It forgets one whose heartbeats have ceased. ep.mu is held.
+// isAwaitingConfirmation reports whether an instance awaits confirmation. One whose heartbeats have ceased is dropped. ep.mu is held.
 func (ep *inboundEndpoint) isAwaitingConfirmation() bool {
 	if ep.unconfirmed != nil && time.Since(ep.unconfirmedAt) > unconfirmedTimeout {
 		ep.unconfirmed = nil
@@ -50,7 +50,7 @@
 	return ep.unconfirmed != nil
 }
 
-// dropUnconfirmed forgets the unconfirmed heartbeat of an instance. ep.mu is held.
+// dropUnconfirmed drops the unconfirmed heartbeat of an instance. ep.mu is held.
 func (ep *inboundEndpoint) dropUnconfirmed(instanceID string) {
 	if ep.unconfirmed != nil && ep.unconfirmed.Endpoint.ID == instanceID {
 		ep.unconfirmed = nil
@@ -67,7 +67,7 @@
 	return ep.setState(instanceID, admission.Serving)
 }
 
-// confirmWithoutHealthCheck takes the word of a heartbeat if the configuration names no health check for the service. ep.mu is held.
+// confirmWithoutHealthCheck applies the unconfirmed heartbeat if the configuration has no health check for the service. ep.mu is held.
 func (ep *inboundEndpoint) confirmWithoutHealthCheck() (changed bool) {
 	if ep.unconfirmed == nil || !ep.hasConfig || ep.probePath != "" {
 		return false
