soak: waits end with the test

Need: waits were plain sleeps, which outlast a test that has ended, and a loop of checks that testcluster has already.

Change: waits go through testcluster.Sleep and WaitFor. A client that cannot connect waits once between two tries, no longer twice.

--- a/internal/mesh/soak/client_test.go
+++ b/internal/mesh/soak/client_test.go
@@ -43,7 +43,6 @@
 // request sends the n-th request, and records its answer.
 func (c *client) request(n int) {
 	if !c.connect() {
-		time.Sleep(pauseTime)
 		return
 	}
 	id := fmt.Sprintf("%s-%d", c.name, n)
--- a/internal/mesh/soak/cluster_test.go
+++ b/internal/mesh/soak/cluster_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"milletmast/internal/freeport"
+	"milletmast/internal/testcluster"
 )
 
 // The processes of a mesh.
@@ -68,6 +69,9 @@
 	return dir
 }
 
+// wait waits for a time, or until the test has ended.
+func (c *cluster) wait(d time.Duration) { _ = testcluster.Sleep(c.t.Context(), d) }
+
 func (c *cluster) ip(machine int) string { return fmt.Sprintf("127.0.%d.%d", c.network, machine+1) }
 
 func (c *cluster) addr(machine, port int) string {
@@ -102,9 +106,9 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	isEnding bool        // it was told to end
+	isEnding bool        // it was sent a signal that ends it
 	killed   []time.Time // of SIGKILL
-	failures []string    // ends that nobody has asked for, and ends that took longer than the grace time
+	failures []string    // ends without such a signal, and ends that took longer than the grace time
 }
 
 func (c *cluster) newProcess(program string, machine int, extra string) *process {
@@ -178,7 +182,7 @@
 	p.busy.Lock()
 	defer p.busy.Unlock()
 	p.end(signal)
-	time.Sleep(down)
+	p.cluster.wait(down)
 	p.start()
 }
 
--- a/internal/mesh/soak/endpoint_test.go
+++ b/internal/mesh/soak/endpoint_test.go
@@ -140,13 +140,13 @@
 		return p.cluster.call("POST", p.cluster.addr(p.machine, controlPort), path, text) == http.StatusOK
 	}
 	if isLate {
-		p.work.Go(func() { time.Sleep(delay); send() })
+		p.work.Go(func() { p.cluster.wait(delay); send() })
 		return true
 	}
 	return send()
 }
 
-// leave says that the present instance leaves, by word or at once, and reports whether that was acknowledged.
+// leave announces that the present instance leaves, by a heartbeat or a deregistration, and reports whether that was acknowledged.
 func (p *place) leave() (acknowledged bool) {
 	p.mu.Lock()
 	p.leaving = true
@@ -238,7 +238,7 @@
 		return false
 	}
 	p.history.begin(begun, answer)
-	time.Sleep(b.work)
+	p.cluster.wait(b.work)
 	if b.losesAnswer {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return false
--- a/internal/mesh/soak/soak_test.go
+++ b/internal/mesh/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"milletmast/internal/rules"
+	"milletmast/internal/testcluster"
 )
 
 // For a longer run: `go test ./internal/mesh/soak -run TestSoak -seeds 50 -first 1 -duration 12s -proxies 6`.
@@ -161,7 +162,7 @@
 			fault(random)
 		})
 	}
-	time.Sleep(*duration)
+	s.cluster.wait(*duration)
 	faults.end()
 	s.awaitRecovery()
 	s.calm.end()
@@ -178,11 +179,10 @@
 func (s *soak) awaitRecovery() {
 	for _, c := range s.clients {
 		before := c.served.Load()
-		for end := time.Now().Add(settleTime); c.served.Load() == before; time.Sleep(pauseTime) {
-			if time.Now().After(end) {
-				s.t.Errorf("client %s is not served within %v after the last fault", c.name, settleTime)
-				return
-			}
+		description := "client " + c.name + " is served after the last fault"
+		if err := testcluster.WaitFor(s.t.Context(), description, settleTime, func() bool { return c.served.Load() > before }); err != nil {
+			s.t.Error(err)
+			return
 		}
 	}
 }
@@ -219,10 +219,10 @@
 	defer p.replacing.Unlock()
 	if random.IntN(3) > 0 {
 		p.leave()
-		time.Sleep(time.Duration(random.Int64N(int64(3 * drainTime))))
+		s.cluster.wait(time.Duration(random.Int64N(int64(3 * drainTime))))
 	}
 	p.close()
-	time.Sleep(time.Duration(random.Int64N(int64(maxDownTime))))
+	s.cluster.wait(time.Duration(random.Int64N(int64(maxDownTime))))
 	if err := p.open(); err != nil {
 		s.t.Error(err)
 	}
