sidecar, proxy: a panic gives back the connection and the slot of its request

A panic while a request was sent was that request's failure, but kept the place of its connection in the count of connections and, beside an endpoint, its slot: two panics took an endpoint of capacity 2 out of service for good.

Change: both are given back by a deferred call, and so in each way a request ends.

--- a/internal/mesh/proxy/inboundrequest.go
+++ b/internal/mesh/proxy/inboundrequest.go
@@ -164,6 +164,7 @@
 	req *inboundRequest,
 	ticket *admission.Ticket,
 ) (outcome string, reply *sidecar.Reply) {
+	defer ep.release(ticket)
 	startedAt := time.Now()
 	exchangeOutcome, reply := ep.pool.RoundTrip(ctx, &sidecar.Exchange{
 		Body: req.body, OmitLength: omitsLength(req.method), IsHead: req.method == http.MethodHead, ID: req.id, MaxReplyBytes: maxBodyBytes,
@@ -178,14 +179,12 @@
 		exchangeOutcome, reply = exchange.ConnectionFailed, nil
 	}
 	ep.mu.Lock()
-	ep.controller.Release(ticket)
 	if exchangeOutcome == exchange.NotWritten {
 		ep.connectFailures++
 	} else {
 		ep.connectFailures = 0
 	}
 	suspect, service := ep.connectFailures > 1, ep.service
-	ep.processQueueLocked()
 	ep.mu.Unlock()
 	if suspect {
 		ep.probe()
--- a/internal/sidecar/connpool.go
+++ b/internal/sidecar/connpool.go
@@ -147,6 +147,15 @@
 	u.goroutines.Wait()
 }
 
+// giveBack ends the use of a connection by one request: it is kept for the next one, or closed.
+func (u *upstream) giveBack(c *conn, keep bool) {
+	if keep {
+		u.putIdle(c)
+	} else {
+		u.discard(c)
+	}
+}
+
 // discard closes a connection.
 func (u *upstream) discard(c *conn) {
 	c.Close()
--- a/internal/sidecar/httprequest.go
+++ b/internal/sidecar/httprequest.go
@@ -40,16 +40,13 @@
 		return balancer.ConnectFailed, nil
 	}
 	stop := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(interruptedAt) })
+	keep := false
+	defer func() { u.giveBack(c, stop() && keep) }() // after a panic too
 	outcome, got, keep := u.sendHTTP1(a, c, r, until)
 	if got != nil && got.stream != nil {
 		outcome, keep = u.streamResponse(a, c, got)
 		got = nil // it has been passed to the client
 	}
-	if !stop() || !keep {
-		u.discard(c)
-	} else {
-		u.putIdle(c)
-	}
 	return outcome, got
 }
 
--- a/internal/sidecar/panics_test.go
+++ b/internal/sidecar/panics_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"milletmast/balancer"
+	"milletmast/internal/exchange"
 )
 
 // panickingHandler panics where the path of a request says so.
@@ -140,3 +143,45 @@
 		t.Errorf("%d panics are counted, want 1", n)
 	}
 }
+
+// An attempt that panics gives its connection back: with one connection allowed, the requests after it are served.
+func TestPanicReleasesConnection(t *testing.T) {
+	server := scriptedServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100000))
+		return true
+	})
+	panics := func(f func()) {
+		defer func() {
+			if recover() == nil {
+				t.Error("the planted panic did not occur")
+			}
+		}()
+		f()
+	}
+	t.Run("mesh", func(t *testing.T) {
+		pool := NewSingleServerPool(1, time.Minute)
+		defer pool.Close()
+		pool.SetServer(server.Addr().String(), 1)
+		head := func(time.Duration) []byte { return []byte("GET / HTTP/1.1\r\nHost: a\r\n") }
+		planted := func(time.Duration) []byte { panic("planted") }
+		for range 3 {
+			panics(func() { pool.RoundTrip(t.Context(), &Exchange{Head: planted}, time.Now().Add(time.Minute)) })
+			outcome, _ := pool.RoundTrip(t.Context(), &Exchange{Head: head, MaxReplyBytes: 1 << 20}, time.Now().Add(time.Minute))
+			if outcome != exchange.Completed {
+				t.Fatalf("outcome %v, want %v", outcome, exchange.Completed)
+			}
+		}
+	})
+	t.Run("listener", func(t *testing.T) {
+		u := newTestUpstream(server.Addr().String(), 1)
+		defer u.close()
+		request := get()
+		request.fromListener = true
+		a := newAttempt(time.Time{})
+		a.onStreaming = func(*response) { panic("planted") }
+		panics(func() { request.send(u, a, u.endpointOf(1), time.Now().Add(time.Minute)) })
+		if u.openConns != 0 {
+			t.Errorf("%d connections are counted, want none", u.openConns)
+		}
+	})
+}
--- a/internal/sidecar/roundtrip.go
+++ b/internal/sidecar/roundtrip.go
@@ -52,14 +52,10 @@
 		idleFor = time.Since(c.idleSince)
 	}
 	stop := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(interruptedAt) })
+	defer func() { u.giveBack(c, stop() && c.exchange.Reusable()) }() // after a panic too
 	reply := u.sendAndReceive(a, c, ex, deadline)
 	outcome := c.exchange.Outcome
 	u.learnIdleLimit(idleFor, outcome)
-	if !stop() || !c.exchange.Reusable() {
-		u.discard(c)
-	} else {
-		u.putIdle(c)
-	}
 	return outcome, reply
 }
 
