proxy: requests under way while a configuration is applied are served

What callers saw: while changes of a route's priority followed one another, 5 of 550 unsafe requests were answered 502 and 4 were answered 503, with an idle endpoint.

Cause: a replaced decision module ended as soon as it had no open request. A request that had looked it up and not started there yet met a module that was answering its last requests, or had stopped.

Change: a lane counts the requests that use its module or are about to, under the lock under which it is replaced, and the old module ends once there are none. Modules of services that no configuration names any more end too; their retry budget stays, as a service that comes back must not have a second one. TestDrawnRoutesHaveModules has each module serve a request.

Measured: TestChangesFailNoRequest fails before the change ("503 Service Unavailable, want 200", at the first changes), as does TestModulesOfRemovedServiceEnd; both pass after it.

--- a/internal/mesh/proxy/config.go
+++ b/internal/mesh/proxy/config.go
@@ -53,8 +53,8 @@
 	p.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("apply configuration")
 }
 
-// applyModules builds the decision modules that a configuration needs, and puts them into use once all of them are built. After an error
-// everything is as before. It returns the services of the configuration.
+// applyModules builds the decision modules that a configuration needs, and puts them into use once all of them are built. Those of services
+// that it does not name are ended. After an error everything is as before. It returns the services of the configuration.
 func (p *Proxy) applyModules(c *meshconfig.Config) (map[string]*upstreamService, error) {
 	services := make(map[string]*upstreamService, len(c.Services))
 	var changes []moduleChange
@@ -74,6 +74,11 @@
 	for i := range changes {
 		changes[i].apply()
 	}
+	for name, service := range p.services {
+		if services[name] == nil {
+			service.retireModules()
+		}
+	}
 	maps.Copy(p.services, services)
 	return services, nil
 }
--- a/internal/mesh/proxy/modules.go
+++ b/internal/mesh/proxy/modules.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"iter"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"milletmast/balancer"
@@ -34,8 +36,9 @@
 
 // lane is a decision module and the classes that it was built for.
 type lane struct {
-	service *sidecar.Service
-	classes []classKey
+	service  *sidecar.Service
+	classes  []classKey
+	requests *sync.WaitGroup // that use the module, or are about to
 }
 
 // The lanes of a service. Requests with large bodies stay in the own zone as long as an endpoint
@@ -158,7 +161,7 @@
 		if !slices.ContainsFunc(wanted, isNew) {
 			continue
 		}
-		next := lane{classes: present.stillUsed(wanted, classesOf(inUse, u.name, laneIndex))}
+		next := lane{requests: &sync.WaitGroup{}, classes: present.stillUsed(wanted, classesOf(inUse, u.name, laneIndex))}
 		for _, key := range wanted {
 			if isNew(key) {
 				next.classes = append(next.classes, key)
@@ -221,11 +224,47 @@
 	u := change.upstream
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	old := u.lanes[change.laneIndex].service
+	old := u.lanes[change.laneIndex]
 	u.lanes[change.laneIndex] = change.next
 	change.next.service.SetEndpoints(u.endpointsFor(change.laneIndex), moduleReplicas, 0)
-	if old != nil {
-		u.proxy.goroutines.Go(func() { old.Shutdown(u.proxy.ctx, time.Now().Add(retireTimeout)) })
+	u.retire(old)
+}
+
+// retire ends the module of a lane that is not in use any more, once its requests have ended. u.mu is held.
+func (u *upstreamService) retire(old lane) {
+	if old.service == nil {
+		return
+	}
+	u.proxy.goroutines.Go(func() {
+		end := time.Now().Add(retireTimeout)
+		old.awaitUnused(u.proxy.ctx, end)
+		old.service.Shutdown(u.proxy.ctx, end)
+	})
+}
+
+// retireModules ends all modules of the service, as no configuration in use names it. Its retry budget stays.
+func (u *upstreamService) retireModules() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for laneIndex := range u.lanes {
+		u.retire(u.lanes[laneIndex])
+		u.lanes[laneIndex] = lane{}
+	}
+}
+
+// awaitUnused waits until no request uses the module, or until a time or the end of the context. No request may begin to use it
+// meanwhile.
+func (l *lane) awaitUnused(ctx context.Context, end time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	unused := make(chan struct{})
+	go func() {
+		l.requests.Wait()
+		close(unused)
+	}()
+	select {
+	case <-unused:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/mesh/proxy/outboundrequest.go
+++ b/internal/mesh/proxy/outboundrequest.go
@@ -26,15 +26,11 @@
 		deadline = routeDeadline
 	}
 	deadline = deadline.Add(-min(50*time.Millisecond, deadline.Sub(now)/10))
-	key := classOf(route)
-	u.mu.Lock()
-	lane := &u.lanes[laneOf(route)]
-	service, class := lane.service, slices.Index(lane.classes, key)
-	u.retryBudget.CountRequest(now)
-	u.mu.Unlock()
-	if service == nil || class < 0 {
+	lane, class := u.acquireLane(now, route)
+	if class < 0 {
 		return sidecar.Reply{Status: http.StatusServiceUnavailable, RetryAfter: 100 * time.Millisecond}
 	}
+	defer lane.requests.Done()
 	stripMeshHeaders(req.Header)
 	req.Header.Del(deadlineHeader)
 	req.Header.Del(targetHeader)
@@ -47,7 +43,7 @@
 	}
 	id := req.Header.Get(idHeader)
 	u.proxy.recordReceived(id, route, u.name)
-	reply, ok := service.Do(ctx, &sidecar.ServiceRequest{
+	reply, ok := lane.service.Do(ctx, &sidecar.ServiceRequest{
 		Class:            uint16(class),
 		Deadline:         deadline,
 		MaxAttempts:      route.MaxAttempts + extraAttempts,
@@ -70,6 +66,19 @@
 	return reply
 }
 
+// acquireLane returns the lane of a route and the number of its class there, and counts a request of both the lane and the retry budget.
+// The class is negative, and the lane is not counted, if the route has no class there.
+func (u *upstreamService) acquireLane(now time.Time, route *meshconfig.Route) (used lane, class int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.retryBudget.CountRequest(now)
+	used = u.lanes[laneOf(route)]
+	if class = slices.Index(used.classes, classOf(route)); class >= 0 {
+		used.requests.Add(1)
+	}
+	return used, class
+}
+
 // affinityOrder returns the preferred endpoints of the client, by the affinity of the route; nil if
 // it has none.
 func (u *upstreamService) affinityOrder(req *sidecar.IncomingRequest, route *meshconfig.Route) []string {
--- a/internal/mesh/proxy/routeapply_test.go
+++ b/internal/mesh/proxy/routeapply_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -114,8 +115,33 @@
 	}
 }
 
-// For drawn configurations of valid extreme values, each applied after the other: every route has a class, its module is built, and the
-// classes that no route has any more are removed.
+// serveByModule has the module of a route serve one request, at an endpoint that always succeeds.
+func serveByModule(t *testing.T, p *Proxy, route *meshconfig.Route) {
+	t.Helper()
+	service := p.services[route.Targets[0].Service]
+	if len(service.endpoints) == 0 {
+		service.endpoints = []sidecar.ServiceEndpoint{{Name: "i-1", Addr: "127.0.8.1:1", Zone: p.settings.Zone}}
+		for laneIndex, lane := range service.lanes {
+			if lane.service != nil {
+				lane.service.SetEndpoints(service.endpointsFor(laneIndex), moduleReplicas, 0)
+			}
+		}
+	}
+	lane, class := service.acquireLane(time.Now(), route)
+	defer lane.requests.Done()
+	reply, ok := lane.service.Do(t.Context(), &sidecar.ServiceRequest{
+		Class: uint16(class), Deadline: time.Now().Add(10 * time.Second), MaxAttempts: route.MaxAttempts + extraAttempts,
+		Attempt: func(*sidecar.ServiceAttempt) sidecar.AttemptResult {
+			return sidecar.AttemptResult{Outcome: balancer.OK, Reply: &sidecar.Reply{Status: http.StatusOK}}
+		},
+	})
+	if !ok || reply.Status != http.StatusOK {
+		t.Fatalf("version %d: route %+v: status %d, %v, want 200", p.routing.Load().config.Version, route, reply.Status, ok)
+	}
+}
+
+// For drawn configurations of valid extreme values, each applied after the other: every route has a class, its module is built and serves
+// a request, and the classes that no route has any more are removed.
 func TestDrawnRoutesHaveModules(t *testing.T) {
 	p := newIdleProxy(t)
 	random := rand.New(rand.NewPCG(1, 82))
@@ -141,6 +167,7 @@
 		if err := applyText(p, routesConfig(version+1, rows...)); err == nil {
 			used, previous, applied = routes, used, applied+1
 			checkModules(t, p)
+			serveByModule(t, p, &p.routing.Load().config.Routes[random.IntN(routes)])
 		} else if !errorx.IsOfType(err, meshconfig.Invalid) {
 			t.Fatalf("version %d: %v", version, err)
 		}
@@ -192,3 +219,57 @@
 	}
 	checkModules(t, p)
 }
+
+// Requests that are under way while one configuration follows the other are all served: a replaced module ends only once no request uses it,
+// nor is about to.
+func TestChangesFailNoRequest(t *testing.T) {
+	const senders, changes = 6, 100
+	m, from, _ := startTwoProxies(t)
+	replace := func(version int) {
+		route := fmt.Sprintf(`"mutating",2,0.5,%d,2`, version%maxPriority) // another class of the module each time
+		m.callUntilOK("POST", "http://"+m.settings("core", coreIP).Control+"/api/Config.Replace", routesConfig(version, route))
+	}
+	replace(3)
+	for r, _ := from.send("POST", "/r0/", "first", "", nil); r.StatusCode != http.StatusOK; {
+		r, _ = from.send("POST", "/r0/", "first", "", nil)
+	}
+	stop := make(chan struct{})
+	var sending sync.WaitGroup
+	for sender := range senders {
+		sending.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("change-%d-%d", sender, n)
+				if r, text := from.send("POST", "/r0/", id, "coins", nil); r.StatusCode != http.StatusOK {
+					t.Errorf("%s: %s %q, want 200", id, r.Status, text)
+				}
+			}
+		})
+	}
+	for version := 4; version < 4+changes; version++ {
+		replace(version)
+	}
+	close(stop)
+	sending.Wait()
+}
+
+// The modules of a service end once the configuration in use does not name it, and are built again when one does.
+func TestModulesOfRemovedServiceEnd(t *testing.T) {
+	p := newIdleProxy(t)
+	both := func(version int) string { return routesConfig(version, `"safe",2,0.5,2,2`, `"safe",2,0.5,2,2,"two"`) }
+	one := strings.Replace(routesConfig(2, `"safe",2,0.5,2,2`), `,["two","/health",100,1,10]`, "", 1)
+	for version, text := range []string{both(1), one, both(3)} {
+		if err := applyText(p, text); err != nil {
+			t.Fatal(err)
+		}
+		checkModules(t, p)
+		_, isNamed := p.routing.Load().config.Services["two"]
+		if has := p.services["two"].lanes[defaultLane].service != nil; has != isNamed {
+			t.Errorf("version %d: the service has a module: %v, want %v", version+1, has, isNamed)
+		}
+	}
+}
