meshconfig: a figure below the unit of calculation is still a limit

A deadline of 1e-12 s held requests as if the route had none, and a max_conns of 0.5 bounded nothing.

Cause: times are rounded to nanoseconds, counts to whole numbers, and 0 means that there is no limit.

Change: what is above 0 stays above 0. TestShortDeadlineHarmsNoOtherRoute has a route with such a deadline too.

Measured: TestFigureBelowUnitIsALimit fails before the change for each of four figures ("Deadline:0s", "MaxConns:0") and passes after it.

--- a/internal/mesh/meshconfig/config_test.go
+++ b/internal/mesh/meshconfig/config_test.go
@@ -96,6 +96,23 @@
 	}
 }
 
+// A figure above 0 that is below the unit which the mesh calculates with limits a request, as every other: 0 would mean that it does not.
+func TestFigureBelowUnitIsALimit(t *testing.T) {
+	for _, figure := range []string{"1e-12", "4e-10", "1e-400", "0.9"} {
+		text := strings.Replace(validConfig, `2,0.5,2`, figure+`,`+figure+`,2`, 1)
+		text = strings.Replace(text, `"/health",130`, `"/health",`+figure, 1)
+		text = strings.Replace(text, `"idle_timeout_s":15`, `"idle_timeout_s":`+figure, 1)
+		c, err := Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		route, service := c.Routes[0], c.Services["one"]
+		if route.Deadline <= 0 || route.TargetLatency <= 0 || service.MaxConns != 1 || c.Limits.IdleTimeout > time.Second {
+			t.Errorf("%s: %+v, %+v, %+v", figure, route, service, c.Limits)
+		}
+	}
+}
+
 // Every number picks a target, and each target gets its share of evenly spread numbers.
 func TestPickByWeight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/mesh/meshconfig/parse.go
+++ b/internal/mesh/meshconfig/parse.go
@@ -79,7 +79,7 @@
 // addService validates a row of the table of services.
 func (c *Config) addService(r *row) {
 	s := &Service{
-		Name: r.text("name"), ProbePath: r.text("probe_path"), MaxConns: r.count("max_conns"),
+		Name: r.text("name"), ProbePath: r.text("probe_path"), MaxConns: r.maximum("max_conns"),
 		Warmup: r.seconds("warmup_s"), WarmupRate: r.rate("warmup_per_s"),
 	}
 	if s.Name == "" {
--- a/internal/mesh/meshconfig/table.go
+++ b/internal/mesh/meshconfig/table.go
@@ -93,9 +93,27 @@
 
 func (r *row) seconds(field string) time.Duration { return boundedSeconds(r.number(field)) }
 
-func boundedSeconds(n decimal.Number) time.Duration { return min(n.Duration(time.Second), maxDuration) }
+func boundedSeconds(n decimal.Number) time.Duration {
+	return keepPositive(min(n.Duration(time.Second), maxDuration), n)
+}
+
+// keepPositive returns 1 for a number above 0 that was rounded to 0, as 0 means that there is no limit.
+func keepPositive[T ~int | ~int64](rounded T, n decimal.Number) T {
+	if rounded == 0 && n.Sign() > 0 {
+		return 1
+	}
+	return rounded
+}
+
+// maximum returns the number in a field that limits something, where 0 means that there is no limit.
+func (r *row) maximum(field string) int {
+	n := r.number(field)
+	return keepPositive(boundedCount(n), n)
+}
+
+func (r *row) count(field string) int { return boundedCount(r.number(field)) }
 
-func (r *row) count(field string) int { return int(min(r.number(field).Int64(), maxCount)) }
+func boundedCount(n decimal.Number) int { return int(min(n.Int64(), maxCount)) }
 
 func (r *row) integer(field string) int64 { return min(r.number(field).Int64(), maxBytes) }
 
--- a/internal/mesh/proxy/shortdeadline_test.go
+++ b/internal/mesh/proxy/shortdeadline_test.go
@@ -11,7 +11,7 @@
 func TestShortDeadlineHarmsNoOtherRoute(t *testing.T) {
 	m, from, to := startTwoProxies(t)
 	m.callUntilOK("POST", "http://"+m.settings("core", coreIP).Control+"/api/Config.Replace",
-		routesConfig(3, `"safe",2,0.5,2,2`, `"mutating",0.004,0.001,2,2`, `"safe",0.04,0.001,2,2`))
+		routesConfig(3, `"safe",2,0.5,2,2`, `"mutating",0.004,0.001,2,2`, `"safe",0.04,0.001,2,2`, `"mutating",1e-12,0.001,2,2`))
 	for end := time.Now().Add(10 * time.Second); from.proxy.routing.Load().config.Version < 3 && time.Now().Before(end); {
 		m.callUntilOK("GET", "http://"+from.s.Readiness+"/api/readiness", "")
 	}
@@ -27,7 +27,7 @@
 	})
 	defer close(held)
 	for n := range 40 {
-		if r, _ := from.send("POST", fmt.Sprintf("/r%d/", 1+n%2), fmt.Sprint("hopeless-", n), "", nil); r.StatusCode < 500 {
+		if r, _ := from.send("POST", fmt.Sprintf("/r%d/", 1+n%3), fmt.Sprint("hopeless-", n), "", nil); r.StatusCode < 500 {
 			t.Errorf("a request that no endpoint can serve in time: %s", r.Status)
 		}
 	}
