--- a/internal/mesh/proxy/invalidresponses_test.go
+++ b/internal/mesh/proxy/invalidresponses_test.go
@@ -19,10 +19,10 @@
 	"milletmast/internal/rules"
 )
 
-// For a longer run: `go test ./internal/mesh/proxy -run TestInvalidResponsesAreNotForwarded -exchanges 100000 -lies 7`.
+// For a longer run: `go test ./internal/mesh/proxy -run TestInvalidResponsesAreNotForwarded -exchanges 100000 -fault-seed 7`.
 var (
 	requestCount = flag.Int("exchanges", 1500, "number of requests that are sent through the mesh to misbehaving endpoints")
-	faultSeed    = flag.Uint64("lies", 1, "seed of the faults of the endpoints and of the clients")
+	faultSeed    = flag.Uint64("fault-seed", 1, "seed of the faults of the endpoints and of the clients")
 )
 
 // abruptClient is a client with a connection of its own, which it closes at random, and which may send only a part of a request.
--- a/internal/mesh/proxy/path_test.go
+++ b/internal/mesh/proxy/path_test.go
@@ -138,7 +138,7 @@
 	return e
 }
 
-// runProxy starts a process of the proxy beside the endpoint, and returns the function that tells it to end. Prepare may change the proxy
+// runProxy starts a process of the proxy beside the endpoint, and returns the function that stops it. Prepare may change the proxy
 // before; nil for no change.
 func (e *endpoint) runProxy(prepare func(*Proxy)) (stop func()) {
 	e.m.t.Helper()
--- a/internal/sidecar/randommisbehavior_test.go
+++ b/internal/sidecar/randommisbehavior_test.go
@@ -15,10 +15,10 @@
 	"milletmast/internal/rules"
 )
 
-// For a longer run use `go test ./internal/sidecar -run TestRandomMisbehavior -exchanges 100000 -lies 7`.
+// For a longer run use `go test ./internal/sidecar -run TestRandomMisbehavior -exchanges 100000 -fault-seed 7`.
 var (
 	exchanges       = flag.Int("exchanges", 3000, "number of exchanges with a misbehaving server")
-	misbehaviorSeed = flag.Uint64("lies", 1, "seed of the server's misbehavior")
+	misbehaviorSeed = flag.Uint64("fault-seed", 1, "seed of the server's misbehavior")
 )
 
 // Whatever a server sends or omits, and however its connections end, no request may get the response to another one, none may be
--- a/internal/sidecar/roundtrip.go
+++ b/internal/sidecar/roundtrip.go
@@ -203,7 +203,7 @@
 }
 
 // mayEndWithConnection reports whether the end of the connection can complete a response without a length. A proxy of the mesh always
-// announces a length. After a write that failed, a reset can no longer be told from an end of the stream: the write has consumed it.
+// announces a length. After a write that failed, a reset cannot be distinguished from an end of the stream: the write has consumed it.
 func (ex *Exchange) mayEndWithConnection(c *conn) bool {
 	return !ex.PeerIsProxy && !c.exchange.IsWriting()
 }
