sidecar: a service may be shut down more than once

What operators saw: a proxy that had drained and logged "exit" was still there at the end of its grace time and was killed.

Cause: at the end of a drain all modules are shut down; a configuration that came just then replaced one of them and shut the old one down again. The second call posted to an event loop that had ended and waited for ever; with other timing it would close a channel twice.

Change: each call of Shutdown returns once the service has ended; the loop is stopped once.

--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"milletmast/balancer"
@@ -85,6 +86,7 @@
 type Service struct {
 	loop     *eventLoop
 	upstream *upstream
+	stopping sync.Once
 }
 
 // ServiceEndpoint is one server of a service.
@@ -179,7 +181,7 @@
 func (s *Service) RespondToAll() { s.loop.do(s.loop.answerAll) }
 
 // Shutdown ends the service once it has no open requests, at the deadline, or when ctx ends. Requests that are still open get a
-// final response. It returns once all goroutines of the service have ended.
+// final response. It returns once all goroutines of the service have ended. It may be called more than once, also at the same time.
 func (s *Service) Shutdown(ctx context.Context, deadline time.Time) {
 	done := make(chan struct{})
 	var check func()
@@ -192,8 +194,11 @@
 		time.AfterFunc(shutdownPollInterval, func() { s.loop.post(check) })
 	}
 	s.loop.post(check)
-	<-done
-	close(s.loop.stop)
+	select {
+	case <-done:
+	case <-s.loop.stopped: // by another call
+	}
+	s.stopping.Do(func() { close(s.loop.stop) })
 	<-s.loop.stopped
 	s.loop.attempts.Wait()
 	s.upstream.close()
