proxy: the end of the grace time answers requests of replaced modules too

Need: shortly before SIGKILL a proxy answers all requests that are open. That reached the modules in use alone: a request in a module that a configuration had replaced meanwhile was cut without an answer.

Change: a service keeps the modules that it has replaced until they have ended, and abort and close reach them.

Measured: TestAbortReachesReplacedModules fails before the change ("the request is not answered", after 10 s) and passes after it.

--- a/internal/mesh/proxy/modules.go
+++ b/internal/mesh/proxy/modules.go
@@ -235,10 +235,14 @@
 	if old.service == nil {
 		return
 	}
+	u.retired = append(u.retired, old.service)
 	u.proxy.goroutines.Go(func() {
 		end := time.Now().Add(retireTimeout)
 		old.awaitUnused(u.proxy.ctx, end)
 		old.service.Shutdown(u.proxy.ctx, end)
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.retired = slices.DeleteFunc(u.retired, func(s *sidecar.Service) bool { return s == old.service })
 	})
 }
 
--- a/internal/mesh/proxy/routeapply_test.go
+++ b/internal/mesh/proxy/routeapply_test.go
@@ -273,3 +273,40 @@
 		}
 	}
 }
+
+// A proxy that has to end answers all requests that are open, also those of a module that a configuration has replaced.
+func TestAbortReachesReplacedModules(t *testing.T) {
+	p := newIdleProxy(t)
+	if err := applyText(p, routesConfig(1, `"safe",2,0.5,2,2`)); err != nil {
+		t.Fatal(err)
+	}
+	route := &p.routing.Load().config.Routes[0]
+	serveByModule(t, p, route)
+	lane, class := p.services["one"].acquireLane(time.Now(), route)
+	started, statuses := make(chan struct{}), make(chan int)
+	go func() {
+		defer lane.requests.Done()
+		reply, _ := lane.service.Do(t.Context(), &sidecar.ServiceRequest{
+			Class: uint16(class), Deadline: time.Now().Add(time.Minute), MaxAttempts: 1,
+			Attempt: func(a *sidecar.ServiceAttempt) sidecar.AttemptResult {
+				close(started)
+				<-a.Ctx.Done()
+				return sidecar.AttemptResult{Outcome: balancer.Canceled}
+			},
+		})
+		statuses <- reply.Status
+	}()
+	<-started
+	if err := applyText(p, routesConfig(2, `"safe",2,0.5,3,2`)); err != nil {
+		t.Fatal(err)
+	}
+	p.services["one"].abort()
+	select {
+	case status := <-statuses:
+		if status < http.StatusInternalServerError {
+			t.Errorf("status %d, want that of a failure", status)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the request is not answered")
+	}
+}
--- a/internal/mesh/proxy/upstream.go
+++ b/internal/mesh/proxy/upstream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -35,8 +36,9 @@
 	name  string
 
 	mu            sync.Mutex
-	lanes         [2]lane // for ordinary requests, and for those with large bodies
-	proxies       int     // number of reachable proxies
+	lanes         [2]lane            // for ordinary requests, and for those with large bodies
+	retired       []*sidecar.Service // replaced modules whose requests have not ended
+	proxies       int                // number of reachable proxies
 	endpoints     []sidecar.ServiceEndpoint
 	affinityTable *affinity.Table     // of the endpoints that accept requests; immutable
 	instances     map[string]locality // by instance
@@ -71,16 +73,19 @@
 	u.forEachModule(func(s *sidecar.Service) { s.Shutdown(u.proxy.ctx, time.Now()) })
 }
 
-// forEachModule calls a function for each module.
+// forEachModule calls a function for each module, also those that were replaced and still have requests.
 func (u *upstreamService) forEachModule(do func(*sidecar.Service)) {
 	u.mu.Lock()
-	lanes := u.lanes
-	u.mu.Unlock()
-	for _, lane := range lanes {
+	modules := slices.Clone(u.retired)
+	for _, lane := range u.lanes {
 		if lane.service != nil {
-			do(lane.service)
+			modules = append(modules, lane.service)
 		}
 	}
+	u.mu.Unlock()
+	for _, module := range modules {
+		do(module)
+	}
 }
 
 // updateEndpoints passes the endpoints of the service to its modules. It runs in the proxy's loop.
