proxy: no request is cut before the last sixth of a short grace time

What callers saw: with a grace time of 4 s, 502 at 3.2 s after the SIGTERM, while the endpoint was at work; the page excuses a cut from 3.33 s on. At 6 s, as at present sites, nothing was wrong.

Cause: the margins before SIGKILL were fixed times, 0.8 s together.

--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -43,17 +43,6 @@
 	apiDrainTimeout = 200 * time.Millisecond // until API calls in flight at shutdown are aborted
 )
 
-// Times of a shutdown. After SIGTERM readiness fails, which clients detect at their second check; until then requests are
-// served normally. Then the other proxies are notified, and after that no more requests are accepted.
-const (
-	maxAcceptTime   = 2600 * time.Millisecond // from SIGTERM until no more requests are accepted
-	acceptFraction  = 0.5                     // limit of the same time, as a fraction of the grace time
-	announceMargin  = 600 * time.Millisecond  // before accepting ends: the other proxies are notified
-	closeMargin     = 200 * time.Millisecond  // before accepting ends: the endpoint beside this proxy gets no more new requests
-	killMargin      = 600 * time.Millisecond  // before SIGKILL: the last connections are closed
-	finalAnswerTime = 200 * time.Millisecond  // before the last connections are closed: the proxy responds to all unfinished requests
-)
-
 // Proxy is a running proxy. Its state is owned by the goroutine of loop; requests read the immutable
 // routing instead.
 type Proxy struct {
