--- a/internal/mesh/soak/cluster_test.go
+++ b/internal/mesh/soak/cluster_test.go
@@ -24,9 +24,12 @@
 const (
 	coreMachines = 3
 	graceTime    = 4 * time.Second // from SIGTERM to SIGKILL
-	drainTime    = time.Second     // from the acknowledgement of a departure to the last request
-	callTimeout  = time.Second     // of one call of the control API
-	settleTime   = 20 * time.Second
+	maxSendDelay = 3 * time.Second // from SIGTERM to a request that may be cut at the end of the grace time
+
+	finalGraceTime = graceTime / 6 // in which such a request may be cut
+	drainTime      = time.Second   // from the acknowledgement of a departure to the last request
+	callTimeout    = time.Second   // of one call of the control API
+	settleTime     = 20 * time.Second
 )
 
 // The ports of a machine, relative to the first one.
@@ -51,8 +54,18 @@
 }
 
 func newCluster(t *testing.T, programs string, network int) *cluster {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if !t.Failed() { // else the logs are kept
+			_ = os.RemoveAll(dir)
+		}
+	})
 	return &cluster{
-		t: t, programs: programs, dir: t.TempDir(), port: freeport.ForTest(t, portCount).First, network: network,
+		t: t, programs: programs, dir: dir, port: freeport.ForTest(t, portCount).First, network: network,
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 }
@@ -107,7 +120,8 @@
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	isEnding bool        // it was sent a signal that ends it
-	killed   []time.Time // of SIGKILL
+	killed   []time.Time // by SIGKILL
+	stopped  []time.Time // by SIGTERM
 	failures []string    // ends without such a signal, and ends that took longer than the grace time
 }
 
@@ -156,8 +170,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isEnding = p.isEnding || signal != syscall.SIGHUP
-	if signal == syscall.SIGKILL {
+	switch signal {
+	case syscall.SIGKILL:
 		p.killed = append(p.killed, time.Now())
+	case syscall.SIGTERM:
+		p.stopped = append(p.stopped, time.Now())
 	}
 	_ = p.cmd.Process.Signal(signal) // fails if it has ended
 }
@@ -198,6 +215,20 @@
 	return false
 }
 
+// mayCut reports whether the process may cut a request that its endpoint is at work on: in the last part of its grace time, if the
+// request was sent early enough after the signal.
+func (p *process) mayCut(sent, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, stopped := range p.stopped {
+		since := at.Sub(stopped)
+		if since >= graceTime-finalGraceTime && since <= graceTime && sent.Sub(stopped) <= maxSendDelay {
+			return true
+		}
+	}
+	return false
+}
+
 // call makes one call of the control API and returns the status; 0 for none.
 func (c *cluster) call(method, addr, path, body string) (status int) {
 	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
--- a/internal/mesh/soak/endpoint_test.go
+++ b/internal/mesh/soak/endpoint_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -22,22 +24,31 @@
 // maxWork bounds the time that an endpoint works on one request.
 const maxWork = 400 * time.Millisecond
 
+// droppedCheckTime is how long an endpoint looks for the end of the connection of a request.
+const droppedCheckTime = time.Millisecond
+
 // run is one execution that an endpoint began.
 type run struct {
 	id, instance string
+	machine      int
 	begun        time.Time
 	brokenOff    bool // the endpoint broke its answer off
+	isDropped    bool // the proxy ended the connection while the endpoint was at work
+}
+
+func (r *run) String() string {
+	return fmt.Sprintf("%s from %s, broken off by the endpoint: %v, dropped by the proxy: %v", r.instance, r.begun.Format(clockFormat), r.brokenOff, r.isDropped)
 }
 
 // history is what all endpoints of a mesh did.
 type history struct {
 	answers *rules.Answers
 	mu      sync.Mutex
-	runs    map[string][]run     // by request
+	runs    map[string][]*run    // by request
 	left    map[string]time.Time // when the departure of an instance was acknowledged
 }
 
-func (h *history) begin(r run, answer rules.Response) {
+func (h *history) begin(r *run, answer rules.Response) {
 	h.answers.RecordExecution(r.id, answer)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -79,7 +90,7 @@
 	lives    int
 	leaving  bool
 	listener net.Listener
-	conns    map[net.Conn]bool
+	conns    map[net.Conn]bool // whether an answer without a length has begun on it
 	sequence int
 }
 
@@ -103,7 +114,7 @@
 				return
 			}
 			p.mu.Lock()
-			p.conns[conn] = true
+			p.conns[conn] = false
 			p.mu.Unlock()
 			p.work.Go(func() { p.serve(conn, instance) })
 		}
@@ -111,17 +122,31 @@
 	return nil
 }
 
-// close ends the present instance.
+// close ends the present instance. A connection with an answer that only its end completes is reset: ended in order, what was sent of the
+// answer would be a whole one.
 func (p *place) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leaving = true
 	p.listener.Close()
-	for conn := range p.conns {
+	for conn, isAnswering := range p.conns {
+		if isAnswering {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
 		conn.Close()
 	}
 }
 
+// beginUnframed sends the head of an answer without a length.
+func (p *place) beginUnframed(conn net.Conn, head string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, isOpen := p.conns[conn]; isOpen {
+		p.conns[conn] = true
+		_, _ = io.WriteString(conn, head+"\r\n")
+	}
+}
+
 // beat sends a heartbeat of the present instance; now and then it arrives late, or the sequence after it arrives before.
 func (p *place) beat(state string) (acknowledged bool) {
 	p.mu.Lock()
@@ -205,7 +230,7 @@
 			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("X-Attempt-Id"))
 			continue
 		}
-		if !p.answer(conn, request, instance) {
+		if !p.answer(conn, reader, request, instance) {
 			return
 		}
 	}
@@ -222,9 +247,9 @@
 }
 
 // answer runs one request and answers it; false ends the connection.
-func (p *place) answer(conn net.Conn, request *http.Request, instance string) (keep bool) {
+func (p *place) answer(conn net.Conn, reader *bufio.Reader, request *http.Request, instance string) (keep bool) {
 	id, b := request.Header.Get("X-Attempt-Id"), p.draw()
-	begun := run{id: id, instance: instance, begun: time.Now(), brokenOff: b.beginsEarly || b.losesAnswer}
+	begun := &run{id: id, instance: instance, machine: p.machine, begun: time.Now(), brokenOff: b.beginsEarly || b.losesAnswer}
 	answer := rules.Response{Status: http.StatusOK, Seal: "seal-" + id + "-" + instance, Body: "answer to " + id}
 	if b.fails {
 		answer.Status = http.StatusInternalServerError
@@ -238,16 +263,28 @@
 		return false
 	}
 	p.history.begin(begun, answer)
+	head := fmt.Sprintf("HTTP/1.1 %d S\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n", answer.Status, id, answer.Seal)
+	if b.unframed {
+		p.beginUnframed(conn, head) // its body follows after the work
+	}
 	p.cluster.wait(b.work)
+	begun.isDropped = isEndedByPeer(conn, reader)
 	if b.losesAnswer {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return false
 	}
-	head := fmt.Sprintf("HTTP/1.1 %d S\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n", answer.Status, id, answer.Seal)
 	if b.unframed {
-		_, _ = io.WriteString(conn, head+"\r\n"+answer.Body)
+		_, _ = io.WriteString(conn, answer.Body)
 		return false
 	}
 	_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(answer.Body), answer.Body)
 	return err == nil
 }
+
+// isEndedByPeer reports whether the proxy has ended a connection.
+func isEndedByPeer(conn net.Conn, reader *bufio.Reader) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(droppedCheckTime))
+	_, err := reader.Peek(1)
+	_ = conn.SetReadDeadline(time.Time{})
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+}
--- a/internal/mesh/soak/soak_test.go
+++ b/internal/mesh/soak/soak_test.go
@@ -15,7 +15,7 @@
 
 // For a longer run: `go test ./internal/mesh/soak -run TestSoak -seeds 50 -first 1 -duration 12s -proxies 6`.
 var (
-	seedCount  = flag.Int("seeds", 2, "number of seeds, one run each")
+	seedCount  = flag.Int("seeds", 4, "number of seeds, one run each")
 	firstSeed  = flag.Uint64("first", 1, "the first seed")
 	duration   = flag.Duration("duration", 10*time.Second, "time of one run under faults")
 	programDir = flag.String("programs", "", "directory of programs to run; built from this tree by default")
@@ -29,7 +29,8 @@
 	clientsPerProxy = 3
 	maxFaultPause   = time.Second
 	maxDownTime     = 800 * time.Millisecond
-	killMargin      = 50 * time.Millisecond // between the end of a connection and the record of the kill that ended it
+	deadlineMargin  = 200 * time.Millisecond // before the end of a request's time, in which a proxy may give it up
+	killMargin      = 50 * time.Millisecond  // between the end of a connection and the record of the kill that ended it
 	clockFormat     = "15:04:05.000"
 )
 
@@ -103,7 +104,7 @@
 func newSoak(t *testing.T, programs string, seed uint64) *soak {
 	s := &soak{
 		t: t, cluster: newCluster(t, programs, 40+int(seed%200)), random: rand.New(rand.NewPCG(82, seed)), calm: newPhase(),
-		history: &history{answers: &rules.Answers{}, runs: map[string][]run{}, left: map[string]time.Time{}},
+		history: &history{answers: &rules.Answers{}, runs: map[string][]*run{}, left: map[string]time.Time{}},
 	}
 	for machine := range coreMachines {
 		state := s.cluster.dir + fmt.Sprint("/state", machine)
@@ -260,24 +261,49 @@
 		}
 	}
 	served := int64(0)
+	statuses := map[int]int{}
 	for _, c := range s.clients {
 		served += c.served.Load()
-		s.judgeLosses(c)
+		for i := range c.endings {
+			statuses[c.endings[i].status]++
+			s.judgeEnding(&c.endings[i])
+		}
 	}
-	s.t.Logf("%d answers of endpoints, %d configurations, %d violations", served, s.version, count)
+	s.t.Logf("%d answers of endpoints, %d configurations, %d violations, other endings by status: %v", served, s.version, count, statuses)
 	if s.t.Failed() {
-		s.t.Logf("logs: %s", s.cluster.dir)
+		s.t.Logf("logs are kept in %s", s.cluster.dir)
 	}
 }
 
-// judgeLosses reports the requests of a client that an endpoint ran and whose connection ended without an answer, unless their proxy was
-// killed meanwhile.
-func (s *soak) judgeLosses(c *client) {
-	proxy := s.proxies[c.machine-coreMachines]
-	for _, l := range c.losses {
-		if runs := s.history.runs[l.id]; len(runs) > 0 && !proxy.wasKilledBetween(l.sent, l.lost.Add(killMargin)) {
-			s.t.Errorf("LOST: %s at machine %d, sent at %v, ended without an answer after %v; run %+v",
-				l.id, l.machine, l.sent.Format(clockFormat), l.lost.Sub(l.sent), runs)
-		}
+// judgeEnding judges a request that ended without the answer of an endpoint. One that an endpoint ran must not end without an answer,
+// unless its proxy was killed meanwhile, nor be broken off while its endpoint is at work, before its time is over, unless one of its
+// proxies was killed meanwhile or was at the end of its grace time. None is denied, as each configuration has its route.
+func (s *soak) judgeEnding(e *ending) {
+	runs := s.history.runs[e.id]
+	until := e.ended.Add(killMargin)
+	own := s.proxyOf(e.machine)
+	isKilled, mayCut, isDropped := own.wasKilledBetween(e.sent, until), own.mayCut(e.sent, e.ended), false
+	for _, r := range runs {
+		beside := s.proxyOf(r.machine)
+		mayCut = mayCut || beside.mayCut(e.sent, e.ended) || beside.wasKilledBetween(e.sent, until)
+		isDropped = isDropped || r.isDropped
+	}
+	failure := ""
+	switch {
+	case e.isDenied():
+		failure = "DENIED"
+	case len(runs) == 0 || isKilled:
+	case e.status == 0:
+		failure = "LOST, without an answer"
+	case isDropped && !mayCut && e.ended.Sub(e.sent) < requestTime-deadlineMargin:
+		failure = "LOST, broken off while its endpoint was at work"
 	}
+	if failure == "" {
+		return
+	}
+	s.t.Errorf("%s: %s at machine %d, sent at %v, ended with %d after %v; runs %v",
+		failure, e.id, e.machine, e.sent.Format(clockFormat), e.status, e.ended.Sub(e.sent), runs)
 }
+
+// proxyOf returns the proxy of a machine.
+func (s *soak) proxyOf(machine int) *process { return s.proxies[machine-coreMachines] }
