Tests in virtual time run in parallel within their packages

Change: four tests without sockets and clocks, the slowest of admission and modelcheck, run beside each other. What they check is as before.

--- a/internal/mesh/admission/priority_test.go
+++ b/internal/mesh/admission/priority_test.go
@@ -159,6 +159,7 @@
 // A class of requests is never admitted less often than a less urgent one by over five in a hundred, at an overloaded endpoint that is
 // warming up or warm, if all wait equally long.
 func TestNoPriorityInversionUnderOverload(t *testing.T) {
+	t.Parallel()
 	const wait = 150 * time.Millisecond
 	for _, oc := range []overloadCase{
 		{"alike", 1, []testClass{{0, 10, wait, false}, {1, 10, wait, false}, {2, 10, wait, false}}},
@@ -173,6 +174,7 @@
 // The same holds if the less urgent requests wait longer at each attempt, as their target latency is longer, but all are attempted again
 // as often as the proxies do.
 func TestNoPriorityInversionOfImpatientRequests(t *testing.T) {
+	t.Parallel()
 	const attempts = 6
 	for _, oc := range []overloadCase{
 		{"two classes", attempts, []testClass{{1, 6, 150 * time.Millisecond, true}, {2, 20, 500 * time.Millisecond, false}}},
--- a/internal/mesh/modelcheck/quota_test.go
+++ b/internal/mesh/modelcheck/quota_test.go
@@ -14,6 +14,7 @@
 // stay, no store and no control plane loses its lease, no member counts as unreachable, every proxy keeps a control plane with contact, and
 // each command is acknowledged at the first attempt.
 func TestQuotaStallsAreNoFailures(t *testing.T) {
+	t.Parallel()
 	const limited, settled, end = 3 * time.Second, 5 * time.Second, 25 * time.Second
 	shortest := map[string]time.Duration{"store": leaseTime, "control plane": leaseTime} // remaining lease that was seen
 	for _, c := range []struct {
--- a/internal/mesh/modelcheck/repair_test.go
+++ b/internal/mesh/modelcheck/repair_test.go
@@ -13,6 +13,7 @@
 // need four seconds to catch up, and half of that with a time scale of 0.5; the repair must not take longer, also if another loss
 // follows. Acknowledged commands must not be lost meanwhile.
 func TestRepairTimes(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name      string
 		voters    int
